--- /dev/null
+++ b/Libraries/LibCore/Log.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace Godwitfork
+{
+
+enum class LogLevel { Debug, Info, Warning, Error };
+
+/// Starts the JSON-line log of this process on standard output. `process` is the binary's name, `instance` the
+/// instance's name; both stand in every line, so that the time line can tell processes apart.
+void startLog(std::string process, std::string instance, LogLevel level);
+
+/// Writes one line: `time` (microseconds since 1970), `level`, `process`, `instance`, `event`, then the given fields.
+/// Keys and tokens of callers must never be passed.
+void logEvent(LogLevel level, std::string_view event, const nlohmann::ordered_json &fields);
+void logEvent(LogLevel level, std::string_view event);
+
+/// Writes out what is buffered.
+void flushLog();
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibCore/Money.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Godwitfork
+{
+
+/// Amount of money in millionths of the currency unit. Integers, so that sums are exact.
+using Microunits = std::int64_t;
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -0,0 +1,325 @@
+#include "LibHttp/HttpServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <sys/socket.h>
+
+#include <optional>
+#include <set>
+
+namespace Godwitfork
+{
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast;
+namespace Http = boost::beast::http;
+using Tcp = Asio::ip::tcp;
+
+namespace
+{
+class Connection;
+using ReusePort = Asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+using Parser = Http::request_parser<Http::string_body>;
+
+constexpr Duration drainTimeout = std::chrono::seconds(1);
+constexpr std::size_t maxDrainedBytes = 4 * 1024 * 1024;
+} // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+    State(Asio::io_context &context, HttpServerLimits limits, HttpHandler handler, HttpRefusal refusal)
+        : context(context), acceptor(context), limits(limits), handler(std::move(handler)), refusal(std::move(refusal))
+    {
+    }
+
+    Asio::awaitable<void> acceptLoop();
+
+    Asio::io_context &context;
+    Tcp::acceptor acceptor;
+    HttpServerLimits limits;
+    HttpHandler handler;
+    HttpRefusal refusal;
+    std::set<Connection *> connections;
+    bool stopping = false;
+};
+
+namespace
+{
+HttpRequest takeRequest(Parser &parser)
+{
+    auto message = parser.release();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+/// Serves the requests of one TCP connection, one after the other.
+class Connection
+    : public HttpExchange
+    , public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(Tcp::socket socket, std::shared_ptr<HttpServer::State> state);
+    ~Connection() override;
+
+    Asio::awaitable<void> run();
+    void closeIfIdle();
+
+    const HttpRequest &request() const override;
+    Asio::awaitable<bool> respond(HttpResponse response) override;
+    Asio::awaitable<bool> startStream(int status, HttpHeaders headers) override;
+    Asio::awaitable<bool> writeChunk(std::string bytes) override;
+    Asio::awaitable<bool> finishStream() override;
+    void abort() override;
+
+private:
+    Asio::awaitable<bool> readRequest();
+    Asio::awaitable<void> drain();
+    Asio::awaitable<void> refuse(int status, const std::string &code, const std::string &message);
+    template<typename Message>
+    void fillHead(Message &message, const HttpHeaders &headers);
+
+    Beast::tcp_stream stream;
+    std::shared_ptr<HttpServer::State> state;
+    Beast::flat_buffer buffer;
+    HttpRequest current;
+    bool keepAlive = true;
+    bool idle = true;
+};
+
+Connection::Connection(Tcp::socket socket, std::shared_ptr<HttpServer::State> state) : stream(std::move(socket)), state(std::move(state))
+{
+    this->state->connections.insert(this);
+}
+
+Connection::~Connection()
+{
+    this->state->connections.erase(this);
+}
+
+void Connection::closeIfIdle()
+{
+    if (this->idle) {
+        this->stream.close();
+    }
+}
+
+const HttpRequest &Connection::request() const
+{
+    return this->current;
+}
+
+void Connection::abort()
+{
+    this->keepAlive = false;
+    this->stream.close();
+}
+
+template<typename Message>
+void Connection::fillHead(Message &message, const HttpHeaders &headers)
+{
+    for (const HttpHeader &header : headers) {
+        message.insert(header.name, header.value);
+    }
+    this->keepAlive = this->keepAlive && !this->state->stopping;
+    message.keep_alive(this->keepAlive);
+}
+
+Asio::awaitable<bool> Connection::respond(HttpResponse response)
+{
+    Http::response<Http::string_body> message;
+    message.result(static_cast<unsigned>(response.status));
+    message.version(11);
+    this->fillHead(message, response.headers);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    boost::system::error_code error;
+    this->stream.expires_after(this->state->limits.writeTimeout);
+    co_await Http::async_write(this->stream, message, Asio::redirect_error(Asio::use_awaitable, error));
+    this->keepAlive = this->keepAlive && !error;
+    co_return !error;
+}
+
+Asio::awaitable<bool> Connection::startStream(int status, HttpHeaders headers)
+{
+    Http::response<Http::empty_body> message;
+    message.result(static_cast<unsigned>(status));
+    message.version(11);
+    this->fillHead(message, headers);
+    message.chunked(true);
+    Http::response_serializer<Http::empty_body> serializer(message);
+    boost::system::error_code error;
+    this->stream.expires_after(this->state->limits.writeTimeout);
+    co_await Http::async_write_header(this->stream, serializer, Asio::redirect_error(Asio::use_awaitable, error));
+    this->keepAlive = this->keepAlive && !error;
+    co_return !error;
+}
+
+Asio::awaitable<bool> Connection::writeChunk(std::string bytes)
+{
+    boost::system::error_code error;
+    this->stream.expires_after(this->state->limits.writeTimeout);
+    const auto chunk = Http::make_chunk(Asio::buffer(bytes));
+    co_await Asio::async_write(this->stream, chunk, Asio::redirect_error(Asio::use_awaitable, error));
+    this->keepAlive = this->keepAlive && !error;
+    co_return !error;
+}
+
+Asio::awaitable<bool> Connection::finishStream()
+{
+    boost::system::error_code error;
+    this->stream.expires_after(this->state->limits.writeTimeout);
+    co_await Asio::async_write(this->stream, Http::make_chunk_last(), Asio::redirect_error(Asio::use_awaitable, error));
+    this->keepAlive = this->keepAlive && !error;
+    co_return !error;
+}
+
+Asio::awaitable<void> Connection::refuse(int status, const std::string &code, const std::string &message)
+{
+    this->keepAlive = false;
+    co_await this->respond(this->state->refusal(status, code, message));
+}
+
+Asio::awaitable<bool> Connection::readRequest()
+{
+    const HttpServerLimits &limits = this->state->limits;
+    Parser parser;
+    parser.header_limit(limits.maxHeaderBytes);
+    parser.body_limit(limits.maxBodyBytes);
+    boost::system::error_code error;
+
+    this->idle = true;
+    this->stream.expires_after(limits.idleTimeout);
+    // Waits for the first byte apart from the rest, so that an idle connection is not answered with a timeout.
+    if (this->buffer.size() == 0) {
+        const std::size_t received = co_await this->stream.async_read_some(this->buffer.prepare(4096), Asio::redirect_error(Asio::use_awaitable, error));
+        if (error) {
+            co_return false;
+        }
+        this->buffer.commit(received);
+    }
+    this->idle = false;
+    this->stream.expires_after(limits.requestTimeout);
+    co_await Http::async_read_header(this->stream, this->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    if (!error && Beast::iequals(parser.get()[Http::field::expect], "100-continue")) {
+        static constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await Asio::async_write(this->stream, Asio::buffer(continueLine), Asio::redirect_error(Asio::use_awaitable, error));
+    }
+    if (!error) {
+        co_await Http::async_read(this->stream, this->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    }
+    if (!error) {
+        this->keepAlive = parser.keep_alive();
+        this->current = takeRequest(parser);
+        co_return true;
+    }
+    if (error == Http::error::body_limit) {
+        co_await this->refuse(413, "body_too_large", "the body passes " + std::to_string(limits.maxBodyBytes) + " bytes");
+    } else if (error == Http::error::header_limit) {
+        co_await this->refuse(431, "header_too_large", "the header passes " + std::to_string(limits.maxHeaderBytes) + " bytes");
+    } else if (error == Beast::error::timeout) {
+        co_await this->refuse(408, "request_timeout", "the request was not complete in time");
+    } else if (error.category() == Http::make_error_code(Http::error::bad_method).category() && error != Http::error::end_of_stream
+               && error != Http::error::partial_message) {
+        co_await this->refuse(400, "malformed_request", "the request is not valid HTTP: " + error.message());
+    }
+    co_return false;
+}
+
+Asio::awaitable<void> Connection::run()
+{
+    while (this->keepAlive && !this->state->stopping) {
+        const bool complete = co_await this->readRequest();
+        if (!complete) {
+            break;
+        }
+        co_await this->state->handler(*this);
+    }
+    co_await this->drain();
+}
+
+// Reads what the caller still sends before the socket closes. Closing with unread bytes would reset the connection, and the
+// reset can overtake the answer.
+Asio::awaitable<void> Connection::drain()
+{
+    boost::system::error_code error;
+    this->stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+    std::size_t drained = 0;
+    this->stream.expires_after(drainTimeout);
+    while (!error && drained < maxDrainedBytes) {
+        this->buffer.clear();
+        drained += co_await this->stream.async_read_some(this->buffer.prepare(4096), Asio::redirect_error(Asio::use_awaitable, error));
+    }
+}
+} // namespace
+
+Asio::awaitable<void> HttpServer::State::acceptLoop()
+{
+    auto self = this->shared_from_this();
+    while (!this->stopping) {
+        boost::system::error_code error;
+        Tcp::socket socket = co_await this->acceptor.async_accept(Asio::redirect_error(Asio::use_awaitable, error));
+        if (error == Asio::error::operation_aborted || !this->acceptor.is_open()) {
+            break;
+        }
+        if (error || static_cast<int>(this->connections.size()) >= this->limits.maxConnections) {
+            continue;
+        }
+        socket.set_option(Tcp::no_delay(true), error);
+        auto connection = std::make_shared<Connection>(std::move(socket), self);
+        Asio::co_spawn(
+            this->context, [connection]() -> Asio::awaitable<void> { co_await connection->run(); }, Asio::detached);
+    }
+}
+
+HttpServer::HttpServer(Asio::io_context &context, const HttpAddress &address, HttpServerLimits limits, HttpHandler handler, HttpRefusal refusal)
+    : state(std::make_shared<State>(context, limits, std::move(handler), std::move(refusal)))
+{
+    const Tcp::endpoint endpoint(Asio::ip::make_address(address.host), address.port);
+    this->state->acceptor.open(endpoint.protocol());
+    this->state->acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    this->state->acceptor.set_option(ReusePort(true));
+    this->state->acceptor.bind(endpoint);
+    this->state->acceptor.listen(Asio::socket_base::max_listen_connections);
+}
+
+HttpServer::~HttpServer() = default;
+
+HttpAddress HttpServer::address() const
+{
+    const Tcp::endpoint endpoint = this->state->acceptor.local_endpoint();
+    return {endpoint.address().to_string(), endpoint.port()};
+}
+
+void HttpServer::start()
+{
+    auto state = this->state;
+    Asio::co_spawn(
+        state->context, [state]() -> Asio::awaitable<void> { co_await state->acceptLoop(); }, Asio::detached);
+}
+
+void HttpServer::stop()
+{
+    this->state->stopping = true;
+    boost::system::error_code ignored;
+    this->state->acceptor.close(ignored);
+    for (Connection *connection : this->state->connections) {
+        connection->closeIfIdle();
+    }
+}
+
+int HttpServer::openConnections() const
+{
+    return static_cast<int>(this->state->connections.size());
+}
+
+} // namespace Godwitfork
