--- /dev/null
+++ b/Libraries/LibLedger/Journal.cpp
@@ -0,0 +1,343 @@
+#include "LibLedger/Journal.h"
+
+#include "LibLedger/RecordCodec.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Godwitfork
+{
+
+namespace
+{
+// Two, because the owner and one keeper may fail at once.
+constexpr std::size_t keeperCount = 2;
+// A replacement keeper may receive a full journal at once, which takes longer than the acknowledgement timeout on the
+// links of section 1.3. 20 MB/s is a fifth of a 1 Gbit/s link.
+constexpr std::size_t transferBytesPerMicrosecond = 20;
+
+Duration transferAllowance(std::size_t bytes)
+{
+    return Duration(static_cast<Duration::rep>(bytes / transferBytesPerMicrosecond));
+}
+} // namespace
+
+Journal::Journal(std::string incarnation, std::string failureDomain, JournalSettings settings)
+    : incarnation(std::move(incarnation)), failureDomain(std::move(failureDomain)), settings(settings), batches(this->incarnation, settings.batchLimitBytes)
+{
+}
+
+JournalAdmission Journal::admission(std::size_t replicaBytes) const
+{
+    if (this->entryBytes + replicaBytes > this->settings.memoryLimitBytes) {
+        return JournalAdmission::MemoryLimit;
+    }
+    if (this->peers.empty() && !this->batches.isStoreReachable()) {
+        return JournalAdmission::NoReplica;
+    }
+    return JournalAdmission::Accepted;
+}
+
+void Journal::open(OpenRequest request, MonotonicTime now)
+{
+    if (this->openSequences.contains(request.requestId) || this->recordSequences.contains(request.requestId)) {
+        return;
+    }
+    this->openSequences[request.requestId] = this->nextSequence;
+    this->add(openEntry(this->nextSequence, std::move(request)), now);
+}
+
+void Journal::append(BillingRecord record, MonotonicTime now)
+{
+    if (this->recordSequences.contains(record.requestId())) {
+        return;
+    }
+    const auto opened = this->openSequences.find(record.requestId());
+    if (opened != this->openSequences.end()) {
+        this->remove(opened->second);
+        this->openSequences.erase(opened);
+    }
+    const std::uint64_t sequence = this->nextSequence;
+    this->recordSequences[record.requestId()] = sequence;
+    this->undurable.insert(sequence);
+    this->unbatched.push_back(sequence);
+    JournalEntry entry = recordEntry(sequence, std::move(record));
+    this->unbatchedBytes += entry.bytes;
+    this->flushDue = std::min(this->flushDue, now + this->settings.flushInterval);
+    this->add(std::move(entry), now);
+}
+
+void Journal::adopt(const std::vector<BillingRecord> &records)
+{
+    std::vector<SharedRecord> shared;
+    for (const BillingRecord &record : records) {
+        shared.push_back(std::make_shared<const BillingRecord>(record));
+        this->entryBytes += encodedSize(*shared.back());
+    }
+    this->batches.add(shared);
+}
+
+void Journal::add(JournalEntry entry, MonotonicTime now)
+{
+    this->entryBytes += entry.bytes;
+    this->entries.emplace(entry.sequence, std::move(entry));
+    this->nextSequence += 1;
+    this->groupDue = std::min(this->groupDue, now + this->settings.groupInterval);
+}
+
+void Journal::remove(std::uint64_t sequence)
+{
+    const auto found = this->entries.find(sequence);
+    this->entryBytes -= found->second.bytes;
+    this->entries.erase(found);
+}
+
+std::uint64_t Journal::lastSequence() const
+{
+    return this->nextSequence - 1;
+}
+
+void Journal::updatePeers(std::vector<JournalPeer> live, MonotonicTime now)
+{
+    this->peers = std::move(live);
+    const auto isLive = [this](const std::string &name) {
+        return std::ranges::any_of(this->peers, [&name](const JournalPeer &peer) { return peer.incarnation == name; });
+    };
+    // A dead keeper's copy counts for nothing, so it is forgotten instead of retired.
+    std::erase_if(this->activeKeepers, [&isLive](const Keeper &keeper) { return !isLive(keeper.incarnation); });
+    std::erase_if(this->retiredKeepers, [&isLive](const auto &entry) { return !isLive(entry.first); });
+    std::erase_if(this->slowUntil, [&isLive](const auto &entry) { return !isLive(entry.first); });
+    this->replaceKeepers(now);
+}
+
+void Journal::retire(const Keeper &keeper)
+{
+    this->retiredKeepers[keeper.incarnation] = {keeper.term, this->lastSequence()};
+}
+
+void Journal::replaceKeepers(MonotonicTime now)
+{
+    std::erase_if(this->slowUntil, [now](const auto &entry) { return entry.second <= now; });
+    for (const Keeper &keeper : this->activeKeepers) {
+        if (!keeper.unacknowledged.empty() && keeper.unacknowledged.front().deadline <= now) {
+            this->slowUntil[keeper.incarnation] = now + this->settings.slowPeerPause;
+            this->retire(keeper);
+        }
+    }
+    std::erase_if(this->activeKeepers, [this](const Keeper &keeper) { return this->retiredKeepers.contains(keeper.incarnation); });
+    for (const std::string &name : keeperOrder(this->incarnation, this->failureDomain, this->peers)) {
+        if (this->activeKeepers.size() >= keeperCount) {
+            return;
+        }
+        const bool active = std::ranges::any_of(this->activeKeepers, [&name](const Keeper &keeper) { return keeper.incarnation == name; });
+        if (active || this->slowUntil.contains(name)) {
+            continue;
+        }
+        Keeper keeper;
+        keeper.incarnation = name;
+        keeper.term = this->nextTerm++;
+        this->activeKeepers.push_back(std::move(keeper));
+        this->retiredKeepers.erase(name);
+        this->groupDue = std::min(this->groupDue, now);
+    }
+}
+
+void Journal::receiveAck(const std::string &keeper, const JournalAck &ack)
+{
+    if (ack.owner != this->incarnation) {
+        return;
+    }
+    const auto retired = this->retiredKeepers.find(keeper);
+    if (ack.release == ReplicaRelease::Release) {
+        if (retired != this->retiredKeepers.end() && retired->second.term <= ack.term) {
+            this->retiredKeepers.erase(retired);
+        }
+        return;
+    }
+    const auto active = std::ranges::find(this->activeKeepers, keeper, &Keeper::incarnation);
+    if (active == this->activeKeepers.end() || active->term != ack.term) {
+        return;
+    }
+    active->ackedThrough = std::max(active->ackedThrough, std::min(ack.sequence, active->sentThrough));
+    while (!active->unacknowledged.empty() && active->unacknowledged.front().sequence <= active->ackedThrough) {
+        active->unacknowledged.pop_front();
+    }
+}
+
+void Journal::finishWrite(const std::string &batch, BatchWriteResult result, MonotonicTime now, RandomSource &random)
+{
+    for (const SharedRecord &record : this->batches.finish(batch, result, now, random)) {
+        const auto found = this->recordSequences.find(record->requestId());
+        const bool own = found != this->recordSequences.end() && this->entries.at(found->second).record == record;
+        if (!own) {
+            this->entryBytes -= encodedSize(*record);
+            continue;
+        }
+        if (this->undurable.erase(found->second) > 0) {
+            this->durableByStore.push_back(record->requestId());
+        }
+        this->remove(found->second);
+        this->recordSequences.erase(found);
+        this->dropsDue = true;
+    }
+}
+
+void Journal::requestFlush()
+{
+    this->flushRequested = true;
+}
+
+JournalActions Journal::advance(MonotonicTime now)
+{
+    JournalActions actions;
+    this->replaceKeepers(now);
+    this->collectAppends(now, actions);
+    this->collectDurable(actions);
+    this->collectWrites(now, actions);
+    this->collectDrops(actions);
+    return actions;
+}
+
+void Journal::collectAppends(MonotonicTime now, JournalActions &actions)
+{
+    if (now < this->groupDue) {
+        return;
+    }
+    this->groupDue = MonotonicTime::max();
+    for (Keeper &keeper : this->activeKeepers) {
+        if (keeper.sentThrough < this->lastSequence()) {
+            actions.appends.push_back({keeper.incarnation, this->nextAppend(keeper, now)});
+        }
+    }
+}
+
+JournalAppend Journal::nextAppend(Keeper &keeper, MonotonicTime now) const
+{
+    JournalAppend message;
+    message.owner = this->incarnation;
+    message.term = keeper.term;
+    message.previousSequence = keeper.sentThrough;
+    message.sequence = this->lastSequence();
+    std::size_t bytes = 0;
+    for (auto entry = this->entries.upper_bound(keeper.sentThrough); entry != this->entries.end(); ++entry) {
+        bytes += entry->second.bytes;
+        message.entries.push_back(entry->second);
+    }
+    keeper.sentThrough = message.sequence;
+    keeper.unacknowledged.push_back({message.sequence, now + this->settings.ackTimeout + transferAllowance(bytes)});
+    return message;
+}
+
+void Journal::collectDurable(JournalActions &actions)
+{
+    actions.durable = std::exchange(this->durableByStore, {});
+    const bool reduced = this->peers.size() < keeperCount && !this->batches.isStoreReachable();
+    const std::size_t needed = reduced ? 1 : keeperCount;
+    if (this->activeKeepers.size() < needed) {
+        return;
+    }
+    const auto slowest = std::ranges::min_element(this->activeKeepers, {}, &Keeper::ackedThrough);
+    while (!this->undurable.empty() && *this->undurable.begin() <= slowest->ackedThrough) {
+        const std::string &requestId = this->entries.at(*this->undurable.begin()).open.requestId;
+        actions.durable.push_back(requestId);
+        if (this->activeKeepers.size() < keeperCount) {
+            actions.reducedReplication.push_back(requestId);
+        }
+        this->undurable.erase(this->undurable.begin());
+    }
+}
+
+bool Journal::isFlushDue(MonotonicTime now) const
+{
+    if (this->unbatched.empty()) {
+        return false;
+    }
+    // With fewer than two keepers the response waits for the store; one write at a time groups what arrives meanwhile.
+    const bool waitsForStore = this->activeKeepers.size() < keeperCount && this->batches.isEmpty();
+    return this->flushRequested || waitsForStore || now >= this->flushDue || this->unbatchedBytes >= this->settings.batchLimitBytes;
+}
+
+void Journal::collectWrites(MonotonicTime now, JournalActions &actions)
+{
+    // During an outage, records wait unbatched behind the probe, so that the flush after it uses full batches.
+    const bool storeReady = this->batches.isStoreReachable() || this->batches.isEmpty();
+    if (storeReady && this->isFlushDue(now)) {
+        std::vector<SharedRecord> records;
+        for (const std::uint64_t sequence : this->unbatched) {
+            records.push_back(this->entries.at(sequence).record);
+        }
+        this->unbatched.clear();
+        this->unbatchedBytes = 0;
+        this->flushRequested = false;
+        this->flushDue = MonotonicTime::max();
+        this->batches.add(records);
+    }
+    actions.writes = this->batches.due(now);
+}
+
+std::uint64_t Journal::firstUnstoredRecord() const
+{
+    const auto found = std::ranges::find_if(this->entries, [](const auto &entry) { return entry.second.record != nullptr; });
+    return found == this->entries.end() ? this->nextSequence : found->first;
+}
+
+bool Journal::canReleaseRetired(const RetiredKeeper &retired) const
+{
+    return this->activeKeepers.size() >= keeperCount
+        && std::ranges::all_of(this->activeKeepers, [&retired](const Keeper &keeper) { return keeper.ackedThrough >= retired.neededThrough; });
+}
+
+void Journal::collectDrops(JournalActions &actions)
+{
+    if (!std::exchange(this->dropsDue, false)) {
+        return;
+    }
+    const std::uint64_t through = this->firstUnstoredRecord() - 1;
+    for (const Keeper &keeper : this->activeKeepers) {
+        actions.drops.push_back({keeper.incarnation, {this->incarnation, keeper.term, through, ReplicaRelease::Keep}});
+    }
+    // A release is repeated with every flush until the retired keeper confirms it, since the message may be lost.
+    for (const auto &[name, retired] : this->retiredKeepers) {
+        const ReplicaRelease release = this->canReleaseRetired(retired) ? ReplicaRelease::Release : ReplicaRelease::Keep;
+        actions.drops.push_back({name, {this->incarnation, retired.term, through, release}});
+    }
+}
+
+MonotonicTime Journal::nextDue() const
+{
+    MonotonicTime due = std::min(this->groupDue, this->batches.nextDue());
+    for (const Keeper &keeper : this->activeKeepers) {
+        if (!keeper.unacknowledged.empty()) {
+            due = std::min(due, keeper.unacknowledged.front().deadline);
+        }
+    }
+    if (this->activeKeepers.size() < keeperCount) {
+        for (const auto &[name, until] : this->slowUntil) {
+            due = std::min(due, until);
+        }
+    }
+    const bool storeReady = this->batches.isStoreReachable() || this->batches.isEmpty();
+    return storeReady ? std::min(due, this->flushDue) : due;
+}
+
+bool Journal::isSettled() const
+{
+    return this->entries.empty() && this->batches.isEmpty();
+}
+
+std::size_t Journal::memoryBytes() const
+{
+    return this->entryBytes;
+}
+
+std::vector<std::string> Journal::keepers() const
+{
+    std::vector<std::string> names;
+    for (const Keeper &keeper : this->activeKeepers) {
+        names.push_back(keeper.incarnation);
+    }
+    return names;
+}
+
+} // namespace Godwitfork
