--- /dev/null
+++ b/Libraries/LibRouting/Ejection.cpp
@@ -0,0 +1,85 @@
+#include "LibRouting/Ejection.h"
+
+#include <algorithm>
+
+namespace Godwitfork
+{
+
+namespace
+{
+/// Slowness at which an endpoint is ejected, and below which it returns. The gap avoids flapping.
+constexpr double ejectionSlowness = 3;
+constexpr double readmissionSlowness = 1.5;
+constexpr double maxEjectedShare = 0.3;
+constexpr Duration firstProbePause = std::chrono::milliseconds(500);
+constexpr int maxDoublings = 4;
+/// One probe in 400 requests stays clear of the 99th percentile. With little traffic, recovery comes first.
+constexpr int requestsPerProbe = 400;
+constexpr Duration maxProbeWait = std::chrono::seconds(5);
+
+double medianTimePerToken(const EndpointTable &table)
+{
+    std::vector<double> times;
+    times.reserve(table.endpoints.size());
+    for (const EndpointState &endpoint : table.endpoints) {
+        if (endpoint.slowness.tokens > 0) {
+            times.push_back(endpoint.slowness.timePerToken);
+        }
+    }
+    if (times.empty()) {
+        return 0;
+    }
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    return *middle;
+}
+
+bool mayEjectOneMore(const EndpointTable &table)
+{
+    const auto ejected = std::count_if(table.endpoints.begin(), table.endpoints.end(), [](const EndpointState &endpoint) { return endpoint.ejected; });
+    return static_cast<double>(ejected + 1) <= maxEjectedShare * static_cast<double>(table.endpoints.size());
+}
+} // namespace
+
+void updateEjection(EndpointTable &table, EndpointIndex index, MonotonicTime now)
+{
+    table.usualTimePerToken = medianTimePerToken(table);
+    EndpointState &endpoint = table.endpoints[index];
+    const double slowness = slownessFactor(endpoint.slowness, table.usualTimePerToken);
+    if (endpoint.ejected) {
+        endpoint.ejected = slowness > readmissionSlowness;
+        return;
+    }
+    if (slowness >= ejectionSlowness && mayEjectOneMore(table)) {
+        endpoint.ejected = true;
+        endpoint.probesSinceEjection = 0;
+        endpoint.nextProbe = now + firstProbePause;
+    }
+}
+
+bool isSuspended(const EndpointState &endpoint, MonotonicTime now)
+{
+    // After the pause a failed endpoint stays suspended until a probe succeeds.
+    return endpoint.ejected || endpoint.consecutiveFailures > 0 || now < endpoint.unavailableUntil;
+}
+
+bool isProbeDue(const EndpointState &endpoint, MonotonicTime now)
+{
+    return isSuspended(endpoint, now) && outstandingRequests(endpoint) == 0 && now >= endpoint.nextProbe && now >= endpoint.unavailableUntil;
+}
+
+bool mayProbe(const EndpointTable &table, MonotonicTime now)
+{
+    return table.requestsSinceProbe >= requestsPerProbe || now - table.lastProbe >= maxProbeWait;
+}
+
+void recordProbe(EndpointTable &table, EndpointIndex index, MonotonicTime now)
+{
+    EndpointState &endpoint = table.endpoints[index];
+    endpoint.nextProbe = now + firstProbePause * (1 << std::min(endpoint.probesSinceEjection, maxDoublings));
+    ++endpoint.probesSinceEjection;
+    table.requestsSinceProbe = 0;
+    table.lastProbe = now;
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibRouting/EndpointTable.cpp
@@ -0,0 +1,118 @@
+#include "LibRouting/EndpointTable.h"
+
+#include "LibCore/Digest.h"
+#include "LibRouting/Ejection.h"
+
+#include <algorithm>
+
+namespace Godwitfork
+{
+
+namespace
+{
+constexpr Duration firstFailurePause = std::chrono::milliseconds(250);
+constexpr Duration maxFailurePause = std::chrono::seconds(8);
+constexpr int maxDoublings = 5;
+constexpr double meanTokensWeight = 0.02;
+
+OutstandingWork &workOf(EndpointState &endpoint, JobLength length)
+{
+    return length == JobLength::Long ? endpoint.longWork : endpoint.shortWork;
+}
+} // namespace
+
+EndpointIndex addEndpoint(EndpointTable &table, const std::string &name, const std::string &failureDomain)
+{
+    EndpointState endpoint;
+    endpoint.name = name;
+    endpoint.failureDomain = failureDomain;
+    endpoint.nameHash = hash64(name);
+    for (EndpointState &other : table.endpoints) {
+        if (other.nameHash < endpoint.nameHash) {
+            ++endpoint.rank;
+        } else {
+            ++other.rank;
+        }
+    }
+    table.endpoints.push_back(std::move(endpoint));
+    return table.endpoints.size() - 1;
+}
+
+std::optional<EndpointIndex> findEndpoint(const EndpointTable &table, const std::string &name)
+{
+    for (EndpointIndex index = 0; index < table.endpoints.size(); ++index) {
+        if (table.endpoints[index].name == name) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+Dispatch startRequest(EndpointTable &table, EndpointIndex index, JobLength length, double expectedTokens)
+{
+    ++table.requestsSinceProbe;
+    OutstandingWork &work = workOf(table.endpoints[index], length);
+    ++work.requests;
+    work.tokens += expectedTokens;
+    table.meanTokens += meanTokensWeight * (expectedTokens - table.meanTokens);
+    return {index, length, expectedTokens};
+}
+
+void recordProgress(EndpointTable &table, Dispatch &dispatch, int tokens, Duration elapsed, MonotonicTime now)
+{
+    EndpointState &endpoint = table.endpoints[dispatch.endpoint];
+    const double done = std::min(dispatch.expectedTokens, static_cast<double>(tokens));
+    dispatch.expectedTokens -= done;
+    OutstandingWork &work = workOf(endpoint, dispatch.length);
+    work.tokens = std::max(0.0, work.tokens - done);
+    // Low-priority jobs are slowed by design, so their pace says nothing about the endpoint.
+    if (dispatch.length == JobLength::Short) {
+        observeTokens(endpoint.slowness, tokens, elapsed);
+        updateEjection(table, dispatch.endpoint, now);
+    }
+}
+
+void finishRequest(EndpointTable &table, const Dispatch &dispatch)
+{
+    OutstandingWork &work = workOf(table.endpoints[dispatch.endpoint], dispatch.length);
+    --work.requests;
+    // Sums of fractions drift; an idle endpoint has no work by definition.
+    work.tokens = work.requests == 0 ? 0 : std::max(0.0, work.tokens - dispatch.expectedTokens);
+}
+
+void recordSuccess(EndpointTable &table, EndpointIndex index)
+{
+    table.endpoints[index].consecutiveFailures = 0;
+    table.endpoints[index].unavailableUntil = {};
+}
+
+void recordFailure(EndpointTable &table, EndpointIndex index, MonotonicTime now)
+{
+    EndpointState &endpoint = table.endpoints[index];
+    const int doublings = std::min(endpoint.consecutiveFailures, maxDoublings);
+    ++endpoint.consecutiveFailures;
+    endpoint.unavailableUntil = now + std::min(maxFailurePause, firstFailurePause * (1 << doublings));
+}
+
+void recordLoadReport(EndpointTable &table, EndpointIndex index, const LoadReport &report)
+{
+    EndpointState &endpoint = table.endpoints[index];
+    if (endpoint.report && endpoint.report->sampledAt > report.sampledAt) {
+        return;
+    }
+    endpoint.report = report;
+    endpoint.report->slots = std::max(1, report.slots);
+    endpoint.ownAtReport = outstandingRequests(endpoint);
+}
+
+bool isDraining(const EndpointState &endpoint)
+{
+    return endpoint.drain.byEndpoint || endpoint.drain.byOperator || endpoint.drain.byInstanceList;
+}
+
+int outstandingRequests(const EndpointState &endpoint)
+{
+    return endpoint.shortWork.requests + endpoint.longWork.requests;
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibRouting/RetryRules.cpp
@@ -0,0 +1,56 @@
+#include "LibRouting/RetryRules.h"
+
+#include <algorithm>
+
+namespace Godwitfork
+{
+
+namespace
+{
+/// An attempt shorter than this can only cause work that is thrown away.
+constexpr Duration minAttempt = std::chrono::milliseconds(5);
+} // namespace
+
+FailureAction actionAfterFailure(CallKind kind, RequestProgress progress, StreamResumption resumption)
+{
+    if (progress == RequestProgress::NotSent) {
+        return FailureAction::RetryAnywhere;
+    }
+    if (kind == CallKind::NonIdempotent) {
+        return FailureAction::Fail;
+    }
+    if (progress == RequestProgress::NotStarted || progress == RequestProgress::Dispatched) {
+        return FailureAction::RetryElsewhere;
+    }
+    return resumption == StreamResumption::Supported ? FailureAction::ResumeStream : FailureAction::Fail;
+}
+
+Ran ranAfterFailure(RequestProgress furthestProgress, int attemptsSent)
+{
+    if (attemptsSent == 0 || furthestProgress == RequestProgress::NotSent) {
+        return Ran::No;
+    }
+    // The design allows `no` after a write only if a single endpoint received the request.
+    return furthestProgress == RequestProgress::NotStarted && attemptsSent == 1 ? Ran::No : Ran::Unknown;
+}
+
+std::string_view toText(Ran ran)
+{
+    return ran == Ran::No ? "no" : "unknown";
+}
+
+Duration remainingTime(MonotonicTime deadline, MonotonicTime now)
+{
+    return deadline - now;
+}
+
+std::optional<Duration> attemptTimeout(MonotonicTime deadline, MonotonicTime now, Duration attemptLimit)
+{
+    const Duration timeout = std::min(remainingTime(deadline, now), attemptLimit);
+    if (timeout < minAttempt) {
+        return std::nullopt;
+    }
+    return timeout;
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibRouting/RetryRules.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "LibCore/Time.h"
+
+#include <optional>
+#include <string_view>
+
+namespace Godwitfork
+{
+
+enum class CallKind { Idempotent, NonIdempotent };
+
+/// How far a request got before its attempt failed.
+enum class RequestProgress {
+    /// No byte was written to an endpoint.
+    NotSent,
+    /// Bytes were written, but the endpoint answered that it did not start the request.
+    NotStarted,
+    /// Bytes were written, and none was sent to the caller.
+    Dispatched,
+    /// Bytes of the response were sent to the caller.
+    Answering,
+};
+
+enum class StreamResumption { Unsupported, Supported };
+
+enum class FailureAction { RetryAnywhere, RetryElsewhere, ResumeStream, Fail };
+
+/// What the caller is told about a request that failed.
+enum class Ran { No, Unknown };
+
+/// Table of section 5.9 of the design, without the retry budget and the deadline.
+FailureAction actionAfterFailure(CallKind kind, RequestProgress progress, StreamResumption resumption);
+
+/// Combines the attempts of one request: once an attempt may have run, no later attempt can make `ran` true `no`.
+Ran ranAfterFailure(RequestProgress furthestProgress, int attemptsSent);
+std::string_view toText(Ran ran);
+
+/// Time left until the deadline; zero or less means that it has passed.
+Duration remainingTime(MonotonicTime deadline, MonotonicTime now);
+
+/// Timeout of the next attempt: the attempt's own limit, cut to the deadline. Empty if too little time is left for an
+/// attempt to be of use.
+std::optional<Duration> attemptTimeout(MonotonicTime deadline, MonotonicTime now, Duration attemptLimit);
+
+} // namespace Godwitfork
