--- /dev/null
+++ b/Tests/LibAdmission/TestLimits.cpp
@@ -0,0 +1,117 @@
+#include "LibAdmission/AdmissionQueue.h"
+#include "LibAdmission/ConcurrencyLimit.h"
+#include "LibAdmission/TokenBucket.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace Godwitfork;
+
+namespace
+{
+constexpr MonotonicTime start {std::chrono::hours(1)};
+}
+
+// Guards against an account that passes its rate by any pattern of arrivals.
+TEST_CASE("A token bucket admits at most the burst plus the rate")
+{
+    CHECK(rc::check([] {
+        const RateLimit limit {20, 5};
+        TokenBucket bucket;
+        MonotonicTime now = start;
+        int admitted = 0;
+        for (const int pause : *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 60))) {
+            now += std::chrono::milliseconds(pause);
+            const Duration wait = takeToken(bucket, limit, now);
+            admitted += wait == Duration::zero() ? 1 : 0;
+            const double seconds = std::chrono::duration<double>(now - start).count();
+            RC_ASSERT(admitted <= limit.burst + limit.rate * seconds + 1e-6);
+            TokenBucket later = bucket;
+            RC_ASSERT(takeToken(later, limit, now + wait + std::chrono::seconds(1)) == Duration::zero());
+        }
+    }));
+}
+
+// Guards against a sum of the instances' parts that passes the site's limit.
+TEST_CASE("The instances' parts of a limit add up to it")
+{
+    const RateLimit site {100, 50};
+    double sum = 0;
+    for (const double demand : {0.0, 10.0, 30.0, 60.0}) {
+        const RateLimit part = instancePart(site, demand, 100, 4);
+        CHECK(part.rate > 0);
+        sum += part.rate;
+    }
+    CHECK(sum == Approx(100));
+}
+
+// Guards against late refusals, against starts after the deadline, and against an inverted priority.
+TEST_CASE("The queue refuses at once, keeps deadlines and serves by priority")
+{
+    CHECK(rc::check([] {
+        AdmissionQueue queue;
+        queue.placeInterval = std::chrono::milliseconds(10);
+        MonotonicTime now = start;
+        std::vector<QueueEntry> expired;
+        std::uint64_t id = 0;
+        const auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+            300, rc::gen::tuple(rc::gen::inRange(0, 4), rc::gen::inRange(0, 3), rc::gen::inRange(1, 400)));
+        for (const auto &[kind, priority, amount] : steps) {
+            now += std::chrono::milliseconds(kind == 3 ? 10 : 1);
+            if (kind < 3) {
+                const QueueEntry entry {++id, priority, now + std::chrono::milliseconds(amount), std::chrono::milliseconds(20), now};
+                for (const QueueEntry &displaced : offer(queue, entry).displaced) {
+                    RC_ASSERT(displaced.priority < entry.priority);
+                    RC_ASSERT(now - displaced.arrived <= std::chrono::milliseconds(50));
+                }
+                continue;
+            }
+            if (const auto next = takeNext(queue, now, expired)) {
+                RC_ASSERT(now + next->expectedService <= next->deadline);
+                for (const QueueEntry &waiting : queue.entries) {
+                    RC_ASSERT(waiting.priority <= next->priority);
+                }
+            }
+        }
+        RC_ASSERT(queue.entries.size() <= id);
+    }));
+}
+
+// Guards against a queue that takes requests it cannot start in time.
+TEST_CASE("A request that would start too late is refused on arrival")
+{
+    AdmissionQueue queue;
+    queue.placeInterval = std::chrono::milliseconds(100);
+    const MonotonicTime later = start + std::chrono::seconds(10);
+    const Duration service = std::chrono::milliseconds(100);
+    CHECK_FALSE(offer(queue, {1, 0, start + std::chrono::milliseconds(150), service, start}).isAccepted);
+    for (std::uint64_t id = 2; id <= 6; ++id) {
+        CHECK(offer(queue, {id, 0, later, service, start}).isAccepted);
+    }
+    CHECK_FALSE(offer(queue, {7, 0, later, service, start}).isAccepted);
+    const QueueOffer urgent = offer(queue, {8, 1, later, service, start});
+    CHECK(urgent.isAccepted);
+    REQUIRE(urgent.displaced.size() == 1);
+    CHECK(urgent.displaced.front().id == 6);
+}
+
+// Guards against a limit that stays closed after an overload, and against one that ignores it.
+TEST_CASE("The concurrency limit shrinks under exhaustion and recovers")
+{
+    ConcurrencyLimit limit;
+    limit.running = 100;
+    MonotonicTime now = start;
+    for (int i = 0; i < 50; ++i) {
+        now += std::chrono::milliseconds(100);
+        recordExhaustion(limit, now);
+    }
+    CHECK(limit.limit == 4);
+    CHECK_FALSE(hasFreePlace(limit));
+    for (int i = 0; i < 1000; ++i) {
+        recordPrompt(limit, std::chrono::milliseconds(10), now);
+    }
+    CHECK(limit.limit > 40);
+    const double before = limit.limit;
+    recordPrompt(limit, std::chrono::milliseconds(100), now + std::chrono::seconds(1));
+    CHECK(limit.limit < before);
+}
