Keep slowness, ejection and long-job shares per endpoint group

Cause: one table per traffic thread holds endpoints of several models. A median over all of them takes a large model for a straggler.

Ruled out: one table per model; an endpoint that serves two models would hide one model's work from the other.

Change: endpoints carry a group, and the usual time per token, the ejected share and the part for long jobs are counted in the group. A request names its eligible endpoints.

--- a/Libraries/LibRouting/Ejection.cpp
+++ b/Libraries/LibRouting/Ejection.cpp
@@ -17,12 +17,12 @@
 constexpr int requestsPerProbe = 400;
 constexpr Duration maxProbeWait = std::chrono::seconds(5);
 
-double medianTimePerToken(const EndpointTable &table)
+double medianTimePerToken(const EndpointTable &table, std::size_t group)
 {
     std::vector<double> times;
     times.reserve(table.endpoints.size());
-    for (const EndpointState &endpoint : table.endpoints) {
-        if (endpoint.slowness.tokens > 0) {
+    for (const RoutedEndpoint &endpoint : table.endpoints) {
+        if (endpoint.group == group && endpoint.slowness.tokens > 0) {
             times.push_back(endpoint.slowness.timePerToken);
         }
     }
@@ -34,36 +34,38 @@
     return *middle;
 }
 
-bool mayEjectOneMore(const EndpointTable &table)
+bool mayEjectOneMore(const EndpointTable &table, std::size_t group)
 {
-    const auto ejected = std::count_if(table.endpoints.begin(), table.endpoints.end(), [](const EndpointState &endpoint) { return endpoint.ejected; });
-    return static_cast<double>(ejected + 1) <= maxEjectedShare * static_cast<double>(table.endpoints.size());
+    const auto isEjected = [group](const RoutedEndpoint &endpoint) { return endpoint.group == group && endpoint.ejected; };
+    const auto ejected = std::count_if(table.endpoints.begin(), table.endpoints.end(), isEjected);
+    return static_cast<double>(ejected + 1) <= maxEjectedShare * static_cast<double>(table.groups[group].endpoints);
 }
 } // namespace
 
 void updateEjection(EndpointTable &table, EndpointIndex index, MonotonicTime now)
 {
-    table.usualTimePerToken = medianTimePerToken(table);
-    EndpointState &endpoint = table.endpoints[index];
-    const double slowness = slownessFactor(endpoint.slowness, table.usualTimePerToken);
+    RoutedEndpoint &endpoint = table.endpoints[index];
+    EndpointGroup &group = table.groups[endpoint.group];
+    group.usualTimePerToken = medianTimePerToken(table, endpoint.group);
+    const double slowness = slownessFactor(endpoint.slowness, group.usualTimePerToken);
     if (endpoint.ejected) {
         endpoint.ejected = slowness > readmissionSlowness;
         return;
     }
-    if (slowness >= ejectionSlowness && mayEjectOneMore(table)) {
+    if (slowness >= ejectionSlowness && mayEjectOneMore(table, endpoint.group)) {
         endpoint.ejected = true;
         endpoint.probesSinceEjection = 0;
         endpoint.nextProbe = now + firstProbePause;
     }
 }
 
-bool isSuspended(const EndpointState &endpoint, MonotonicTime now)
+bool isSuspended(const RoutedEndpoint &endpoint, MonotonicTime now)
 {
     // After the pause a failed endpoint stays suspended until a probe succeeds.
     return endpoint.ejected || endpoint.consecutiveFailures > 0 || now < endpoint.unavailableUntil;
 }
 
-bool isProbeDue(const EndpointState &endpoint, MonotonicTime now)
+bool isProbeDue(const RoutedEndpoint &endpoint, MonotonicTime now)
 {
     return isSuspended(endpoint, now) && outstandingRequests(endpoint) == 0 && now >= endpoint.nextProbe && now >= endpoint.unavailableUntil;
 }
@@ -75,7 +77,7 @@
 
 void recordProbe(EndpointTable &table, EndpointIndex index, MonotonicTime now)
 {
-    EndpointState &endpoint = table.endpoints[index];
+    RoutedEndpoint &endpoint = table.endpoints[index];
     endpoint.nextProbe = now + firstProbePause * (1 << std::min(endpoint.probesSinceEjection, maxDoublings));
     ++endpoint.probesSinceEjection;
     table.requestsSinceProbe = 0;
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -12,15 +12,33 @@
 {
 enum class Suspended { Allowed, Avoided };
 
+bool contains(std::span<const EndpointIndex> list, EndpointIndex index)
+{
+    return std::find(list.begin(), list.end(), index) != list.end();
+}
+
 bool mayServe(const EndpointTable &table, const RouteRequest &request, EndpointIndex index)
 {
-    return !isDraining(table.endpoints[index]) && std::find(request.excluded.begin(), request.excluded.end(), index) == request.excluded.end();
+    return !isDraining(table.endpoints[index]) && !contains(request.excluded, index);
+}
+
+std::vector<EndpointIndex> eligibleEndpoints(const EndpointTable &table, const RouteRequest &request)
+{
+    std::vector<EndpointIndex> all;
+    if (request.eligible) {
+        all.assign(request.eligible->begin(), request.eligible->end());
+        return all;
+    }
+    for (EndpointIndex index = 0; index < table.endpoints.size(); ++index) {
+        all.push_back(index);
+    }
+    return all;
 }
 
 std::vector<EndpointIndex> candidatesFor(const EndpointTable &table, const RouteRequest &request, Suspended suspended, MonotonicTime now)
 {
     std::vector<EndpointIndex> candidates;
-    for (EndpointIndex index = 0; index < table.endpoints.size(); ++index) {
+    for (const EndpointIndex index : eligibleEndpoints(table, request)) {
         if (!mayServe(table, request, index)) {
             continue;
         }
@@ -38,7 +56,7 @@
     if (!request.excluded.empty() || request.length == JobLength::Long || !mayProbe(table, now)) {
         return std::nullopt;
     }
-    for (EndpointIndex index = 0; index < table.endpoints.size(); ++index) {
+    for (const EndpointIndex index : eligibleEndpoints(table, request)) {
         if (mayServe(table, request, index) && isProbeDue(table.endpoints[index], now)) {
             return index;
         }
@@ -117,7 +135,7 @@
         if (takesLongJobs(table, settings, index) != (request.length == JobLength::Long)) {
             continue;
         }
-        const EndpointState &endpoint = table.endpoints[index];
+        const RoutedEndpoint &endpoint = table.endpoints[index];
         hasFreeSlot = hasFreeSlot || outstandingRequests(endpoint) < (endpoint.report ? endpoint.report->slots : 1);
         part.push_back(index);
     }
@@ -135,7 +153,7 @@
 
 bool takesLongJobs(const EndpointTable &table, const RoutingSettings &settings, EndpointIndex index)
 {
-    const auto count = table.endpoints.size();
+    const std::size_t count = table.groups[table.endpoints[index].group].endpoints;
     if (count < 2) {
         return true;
     }
--- a/Libraries/LibRouting/EndpointChoice.h
+++ b/Libraries/LibRouting/EndpointChoice.h
@@ -4,6 +4,7 @@
 #include "LibRouting/EndpointTable.h"
 #include "LibRouting/RoutingPolicy.h"
 
+#include <optional>
 #include <span>
 
 namespace Godwitfork
@@ -27,19 +28,22 @@
     std::uint64_t prefixHash = 0;
     /// Tokens of the prefix that an endpoint with a cached copy need not compute.
     double prefixTokens = 0;
+    /// Endpoints that serve the request's model and version; all if not set.
+    std::optional<std::span<const EndpointIndex>> eligible;
     /// Endpoints that this request has tried already.
     std::span<const EndpointIndex> excluded;
 };
 
-/// Chooses an endpoint for one request. A draining or excluded endpoint is never chosen; a suspended one only as a
+/// Chooses an endpoint for one request. A draining, excluded or not
+/// eligible endpoint is never chosen; a suspended one only as a
 /// probe or when no other is left. Empty if no endpoint is left.
 std::optional<EndpointIndex>
 chooseEndpoint(EndpointTable &table, const RoutingSettings &settings, const RouteRequest &request, MonotonicTime now, RandomSource &random);
 
 /// Expected time to completion in microseconds; lower is better.
-double endpointScore(const EndpointTable &table, const EndpointState &endpoint, const RouteRequest &request, MonotonicTime now);
+double endpointScore(const EndpointTable &table, const RoutedEndpoint &endpoint, const RouteRequest &request, MonotonicTime now);
 
-/// Whether the endpoint is in the part of the pool that takes long jobs. Instances agree on it without messages,
+/// Whether the endpoint is in the part of its group that takes long jobs. Instances agree on it without messages,
 /// because it depends on the endpoints' names alone.
 bool takesLongJobs(const EndpointTable &table, const RoutingSettings &settings, EndpointIndex endpoint);
 
--- a/Libraries/LibRouting/EndpointScore.cpp
+++ b/Libraries/LibRouting/EndpointScore.cpp
@@ -19,7 +19,7 @@
 /// Prefill handles a prompt token in about a twentieth of the time of a generated one.
 constexpr double prefillShare = 0.05;
 
-double otherCallersTokens(const EndpointTable &table, const EndpointState &endpoint, MonotonicTime now)
+double otherCallersTokens(const EndpointTable &table, const RoutedEndpoint &endpoint, MonotonicTime now)
 {
     if (!endpoint.report) {
         return 0;
@@ -31,10 +31,11 @@
 }
 } // namespace
 
-double endpointScore(const EndpointTable &table, const EndpointState &endpoint, const RouteRequest &request, MonotonicTime now)
+double endpointScore(const EndpointTable &table, const RoutedEndpoint &endpoint, const RouteRequest &request, MonotonicTime now)
 {
-    const double usual = table.usualTimePerToken > 0 ? table.usualTimePerToken : assumedTimePerToken;
-    const double timePerToken = usual * slownessFactor(endpoint.slowness, table.usualTimePerToken);
+    const double observed = table.groups[endpoint.group].usualTimePerToken;
+    const double usual = observed > 0 ? observed : assumedTimePerToken;
+    const double timePerToken = usual * slownessFactor(endpoint.slowness, observed);
     const double longWeight = request.length == JobLength::Long ? 1 : lowPriorityWeight;
     const double ownTokens = endpoint.shortWork.tokens + longWeight * endpoint.longWork.tokens;
     const int slots = endpoint.report ? endpoint.report->slots : 1;
--- a/Libraries/LibRouting/EndpointTable.cpp
+++ b/Libraries/LibRouting/EndpointTable.cpp
@@ -15,19 +15,34 @@
 constexpr int maxDoublings = 5;
 constexpr double meanTokensWeight = 0.02;
 
-OutstandingWork &workOf(EndpointState &endpoint, JobLength length)
+OutstandingWork &workOf(RoutedEndpoint &endpoint, JobLength length)
 {
     return length == JobLength::Long ? endpoint.longWork : endpoint.shortWork;
 }
+
+std::size_t groupIndex(EndpointTable &table, const std::string &name)
+{
+    const auto found = std::find_if(table.groups.begin(), table.groups.end(), [&](const EndpointGroup &group) { return group.name == name; });
+    if (found != table.groups.end()) {
+        return static_cast<std::size_t>(found - table.groups.begin());
+    }
+    table.groups.push_back({name, 0, 0});
+    return table.groups.size() - 1;
+}
 } // namespace
 
-EndpointIndex addEndpoint(EndpointTable &table, const std::string &name, const std::string &failureDomain)
+EndpointIndex addEndpoint(EndpointTable &table, const std::string &name, const std::string &failureDomain, const std::string &group)
 {
-    EndpointState endpoint;
+    RoutedEndpoint endpoint;
     endpoint.name = name;
     endpoint.failureDomain = failureDomain;
     endpoint.nameHash = hash64(name);
-    for (EndpointState &other : table.endpoints) {
+    endpoint.group = groupIndex(table, group);
+    ++table.groups[endpoint.group].endpoints;
+    for (RoutedEndpoint &other : table.endpoints) {
+        if (other.group != endpoint.group) {
+            continue;
+        }
         if (other.nameHash < endpoint.nameHash) {
             ++endpoint.rank;
         } else {
@@ -60,7 +75,7 @@
 
 void recordProgress(EndpointTable &table, Dispatch &dispatch, int tokens, Duration elapsed, MonotonicTime now)
 {
-    EndpointState &endpoint = table.endpoints[dispatch.endpoint];
+    RoutedEndpoint &endpoint = table.endpoints[dispatch.endpoint];
     const double done = std::min(dispatch.expectedTokens, static_cast<double>(tokens));
     dispatch.expectedTokens -= done;
     OutstandingWork &work = workOf(endpoint, dispatch.length);
@@ -88,7 +103,7 @@
 
 void recordFailure(EndpointTable &table, EndpointIndex index, MonotonicTime now)
 {
-    EndpointState &endpoint = table.endpoints[index];
+    RoutedEndpoint &endpoint = table.endpoints[index];
     const int doublings = std::min(endpoint.consecutiveFailures, maxDoublings);
     ++endpoint.consecutiveFailures;
     endpoint.unavailableUntil = now + std::min(maxFailurePause, firstFailurePause * (1 << doublings));
@@ -96,7 +111,7 @@
 
 void recordLoadReport(EndpointTable &table, EndpointIndex index, const LoadReport &report)
 {
-    EndpointState &endpoint = table.endpoints[index];
+    RoutedEndpoint &endpoint = table.endpoints[index];
     if (endpoint.report && endpoint.report->sampledAt > report.sampledAt) {
         return;
     }
@@ -105,12 +120,12 @@
     endpoint.ownAtReport = outstandingRequests(endpoint);
 }
 
-bool isDraining(const EndpointState &endpoint)
+bool isDraining(const RoutedEndpoint &endpoint)
 {
     return endpoint.drain.byEndpoint || endpoint.drain.byOperator || endpoint.drain.byInstanceList;
 }
 
-int outstandingRequests(const EndpointState &endpoint)
+int outstandingRequests(const RoutedEndpoint &endpoint)
 {
     return endpoint.shortWork.requests + endpoint.longWork.requests;
 }
--- a/Libraries/LibRouting/EndpointTable.h
+++ b/Libraries/LibRouting/EndpointTable.h
@@ -43,11 +43,13 @@
 };
 
 /// One endpoint as one traffic thread sees it.
-struct EndpointState {
+struct RoutedEndpoint {
     std::string name;
     std::string failureDomain;
     std::uint64_t nameHash = 0;
-    /// Position by name hash; the first ones take long jobs. It depends on the names alone, so instances agree on it.
+    /// Index into `EndpointTable::groups`.
+    std::size_t group = 0;
+    /// Position in the group by name hash; the first ones take long jobs. It depends on the names alone, so instances agree on it.
     std::size_t rank = 0;
 
     OutstandingWork shortWork;
@@ -66,12 +68,19 @@
     int probesSinceEjection = 0;
 };
 
-/// The endpoints of one pool for one traffic thread. No other thread sees it, so it needs no lock.
-struct EndpointTable {
-    std::vector<EndpointState> endpoints;
-    std::string ownFailureDomain;
+/// Endpoints that serve the same models and are therefore expected to be equally fast.
+struct EndpointGroup {
+    std::string name;
+    std::size_t endpoints = 0;
     /// Median time per token over the endpoints, microseconds; 0 before the first observation.
     double usualTimePerToken = 0;
+};
+
+/// The endpoints of one traffic thread. No other thread sees the table, so it needs no lock.
+struct EndpointTable {
+    std::vector<RoutedEndpoint> endpoints;
+    std::vector<EndpointGroup> groups;
+    std::string ownFailureDomain;
     /// Moving mean of the expected tokens of a request; converts reported requests to work.
     double meanTokens = 64;
     std::uint64_t roundRobinPosition = 0;
@@ -81,7 +90,7 @@
 
 using EndpointIndex = std::size_t;
 
-EndpointIndex addEndpoint(EndpointTable &table, const std::string &name, const std::string &failureDomain);
+EndpointIndex addEndpoint(EndpointTable &table, const std::string &name, const std::string &failureDomain, const std::string &group);
 std::optional<EndpointIndex> findEndpoint(const EndpointTable &table, const std::string &name);
 
 /// Work that one request was expected to bring; kept by the request until `finishRequest`.
@@ -104,7 +113,7 @@
 /// Ignores a report that is older than the one held.
 void recordLoadReport(EndpointTable &table, EndpointIndex endpoint, const LoadReport &report);
 
-bool isDraining(const EndpointState &endpoint);
-int outstandingRequests(const EndpointState &endpoint);
+bool isDraining(const RoutedEndpoint &endpoint);
+int outstandingRequests(const RoutedEndpoint &endpoint);
 
 } // namespace Godwitfork
--- a/Libraries/LibRouting/RetryRules.cpp
+++ b/Libraries/LibRouting/RetryRules.cpp
@@ -25,18 +25,9 @@
     return resumption == StreamResumption::Supported ? FailureAction::ResumeStream : FailureAction::Fail;
 }
 
-Ran ranAfterFailure(RequestProgress furthestProgress, int attemptsSent)
+bool mayHaveRun(RequestProgress progress)
 {
-    if (attemptsSent == 0 || furthestProgress == RequestProgress::NotSent) {
-        return Ran::No;
-    }
-    // The design allows `no` after a write only if a single endpoint received the request.
-    return furthestProgress == RequestProgress::NotStarted && attemptsSent == 1 ? Ran::No : Ran::Unknown;
-}
-
-std::string_view toText(Ran ran)
-{
-    return ran == Ran::No ? "no" : "unknown";
+    return progress == RequestProgress::Dispatched || progress == RequestProgress::Answering;
 }
 
 Duration remainingTime(MonotonicTime deadline, MonotonicTime now)
--- a/Libraries/LibRouting/RetryRules.h
+++ b/Libraries/LibRouting/RetryRules.h
@@ -3,7 +3,6 @@
 #include "LibCore/Time.h"
 
 #include <optional>
-#include <string_view>
 
 namespace Godwitfork
 {
@@ -26,15 +25,12 @@
 
 enum class FailureAction { RetryAnywhere, RetryElsewhere, ResumeStream, Fail };
 
-/// What the caller is told about a request that failed.
-enum class Ran { No, Unknown };
-
 /// Table of section 5.9 of the design, without the retry budget and the deadline.
 FailureAction actionAfterFailure(CallKind kind, RequestProgress progress, StreamResumption resumption);
 
-/// Combines the attempts of one request: once an attempt may have run, no later attempt can make `ran` true `no`.
-Ran ranAfterFailure(RequestProgress furthestProgress, int attemptsSent);
-std::string_view toText(Ran ran);
+/// Whether an attempt that failed with this progress may have run. A request that no attempt may have run can be refused
+/// with `ran: no`.
+bool mayHaveRun(RequestProgress progress);
 
 /// Time left until the deadline; zero or less means that it has passed.
 Duration remainingTime(MonotonicTime deadline, MonotonicTime now);
