Add LibRollout: staged exposure with a sequential test

Cause: a version that is bad must reach few requests, also when the controlling instance is paused, killed or replaced partway.

The roll-out is one value that its holder changes by conditional update; the lease only keeps two holders from working at once. A bad verdict pauses, and the ratings that still arrive decide between withdrawal and resumption. Ratings and errors share the 1 % of false alarms in halves. Ruled out: withdrawal on the first bad verdict, because one unlucky sample would end a good roll-out for good.

--- /dev/null
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -0,0 +1,160 @@
+#include "LibRollout/Rollout.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Godwitfork
+{
+
+namespace
+{
+// Long enough that errors which show only after a minute of use are seen before the exposure grows.
+constexpr Duration shortestStage = std::chrono::seconds(120);
+// Ratings arrive within minutes; a version that they have not cleared by then stays out of use.
+constexpr Duration longestVerification = std::chrono::seconds(600);
+
+bool isFinal(const Rollout &rollout)
+{
+    return rollout.phase == RolloutPhase::Withdrawn || rollout.phase == RolloutPhase::Completed;
+}
+
+Rollout enter(Rollout rollout, RolloutPhase phase, WallTime now)
+{
+    rollout.phase = phase;
+    rollout.phaseStarted = now;
+    rollout.test = SequentialTest();
+    rollout.pausedByOperator = false;
+    return rollout;
+}
+
+Rollout enterNextStage(Rollout rollout, WallTime now)
+{
+    if (rollout.stage + 1 == exposureStages.size()) {
+        return enter(std::move(rollout), RolloutPhase::Completed, now);
+    }
+    ++rollout.stage;
+    return enter(std::move(rollout), RolloutPhase::Loading, now);
+}
+
+Error finishedError(const Rollout &rollout)
+{
+    return {"rollout_finished", "the roll-out of " + rollout.model + " " + rollout.candidate + " is completed or withdrawn"};
+}
+} // namespace
+
+Rollout makeRollout(std::string model, std::string stable, std::string candidate, WallTime now)
+{
+    Rollout rollout;
+    rollout.model = std::move(model);
+    rollout.stable = std::move(stable);
+    rollout.candidate = std::move(candidate);
+    rollout.phaseStarted = now;
+    return rollout;
+}
+
+Rollout takeOver(Rollout rollout, std::uint64_t term)
+{
+    rollout.term = term;
+    return rollout;
+}
+
+int replicasNeeded(const Rollout &rollout, int replicas)
+{
+    return static_cast<int>(std::ceil(exposureStages[rollout.stage] * replicas));
+}
+
+Rollout recordObservation(Rollout rollout, const ReferenceQuality &reference, const CandidateObservation &observation, WallTime now)
+{
+    if (isFinal(rollout) || rollout.pausedByOperator) {
+        return rollout;
+    }
+    rollout.test = observe(rollout.test, reference, observation);
+    const TestVerdict result = verdict(rollout.test);
+    if (rollout.phase == RolloutPhase::Paused) {
+        if (result == TestVerdict::Bad) {
+            return enter(std::move(rollout), RolloutPhase::Withdrawn, now);
+        }
+        // The weights may have been unloaded during the pause.
+        return result == TestVerdict::Good ? enter(std::move(rollout), RolloutPhase::Loading, now) : rollout;
+    }
+    return result == TestVerdict::Bad ? enter(std::move(rollout), RolloutPhase::Paused, now) : rollout;
+}
+
+Rollout advance(Rollout rollout, int loadedReplicas, int replicas, WallTime now)
+{
+    const Duration inPhase = now - rollout.phaseStarted;
+    switch (rollout.phase) {
+    case RolloutPhase::Loading:
+        if (loadedReplicas < replicasNeeded(rollout, replicas)) {
+            return rollout;
+        }
+        return enter(std::move(rollout), RolloutPhase::Exposing, now);
+    case RolloutPhase::Exposing:
+        if (inPhase < shortestStage || verdict(rollout.test) != TestVerdict::Good) {
+            return rollout;
+        }
+        return enterNextStage(std::move(rollout), now);
+    case RolloutPhase::Paused:
+        if (rollout.pausedByOperator || inPhase < longestVerification) {
+            return rollout;
+        }
+        return enter(std::move(rollout), RolloutPhase::Withdrawn, now);
+    case RolloutPhase::Withdrawn:
+    case RolloutPhase::Completed:
+        break;
+    }
+    return rollout;
+}
+
+ErrorOr<Rollout> pause(Rollout rollout, WallTime now)
+{
+    if (isFinal(rollout)) {
+        return finishedError(rollout);
+    }
+    Rollout paused = enter(std::move(rollout), RolloutPhase::Paused, now);
+    paused.pausedByOperator = true;
+    return paused;
+}
+
+ErrorOr<Rollout> resume(Rollout rollout, WallTime now)
+{
+    if (isFinal(rollout)) {
+        return finishedError(rollout);
+    }
+    if (rollout.phase != RolloutPhase::Paused) {
+        return Error {"not_paused", "the roll-out of " + rollout.model + " " + rollout.candidate + " is not paused"};
+    }
+    return enter(std::move(rollout), RolloutPhase::Loading, now);
+}
+
+ErrorOr<Rollout> withdraw(Rollout rollout, WallTime now)
+{
+    if (isFinal(rollout)) {
+        return finishedError(rollout);
+    }
+    return enter(std::move(rollout), RolloutPhase::Withdrawn, now);
+}
+
+double exposureShare(const Rollout &rollout)
+{
+    switch (rollout.phase) {
+    case RolloutPhase::Loading:
+        return rollout.stage == 0 ? 0 : exposureStages[rollout.stage - 1];
+    case RolloutPhase::Exposing:
+        return exposureStages[rollout.stage];
+    case RolloutPhase::Completed:
+        return 1;
+    case RolloutPhase::Paused:
+    case RolloutPhase::Withdrawn:
+        break;
+    }
+    return 0;
+}
+
+bool isExposed(const Rollout &rollout, SessionPin pin, double draw)
+{
+    return pin == SessionPin::None && draw < exposureShare(rollout);
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibRollout/SequentialTest.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace Godwitfork
+{
+
+/// What the stable version shows under the same traffic.
+struct ReferenceQuality {
+    double meanRating = 0;
+    double ratingVariance = 0;
+    double errorRate = 0;
+
+    auto operator<=>(const ReferenceQuality &) const = default;
+};
+
+/// Ratings and answers of a candidate since the last observation. Ratings are in [0, 1].
+struct CandidateObservation {
+    std::int64_t ratings = 0;
+    double ratingSum = 0;
+    std::int64_t answers = 0;
+    std::int64_t errors = 0;
+
+    auto operator<=>(const CandidateObservation &) const = default;
+};
+
+/// Log-likelihood ratios of "bad" against "good". Bad means a rating that is lower by a quarter, or an error rate above
+/// the stable version's by a stated factor.
+struct SequentialTest {
+    double ratingEvidence = 0;
+    double errorEvidence = 0;
+
+    auto operator<=>(const SequentialTest &) const = default;
+};
+
+enum class TestVerdict { Undecided, Good, Bad };
+
+/// Wald's sequential probability ratio test with 1 % false alarms over both measures and 1 % missed bad versions.
+SequentialTest observe(SequentialTest test, const ReferenceQuality &reference, const CandidateObservation &observation);
+/// Bad if either measure is bad, good if the ratings are good.
+TestVerdict verdict(const SequentialTest &test);
+
+/// Expected number of ratings until the verdict on a version whose rating fell by a quarter (Wald's approximation).
+double expectedSampleNumber(const ReferenceQuality &reference);
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Tests/LibRollout/TestRollout.cpp
@@ -0,0 +1,179 @@
+#include "LibRollout/Rollout.h"
+#include "LibRollout/RolloutLease.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace Godwitfork;
+
+namespace
+{
+const ReferenceQuality reference {0.8, 0.04, 0.002};
+constexpr int replicas = 20;
+const WallTime start {std::chrono::hours(495000)};
+
+CandidateObservation ratingsOf(double mean, int count)
+{
+    return {count, mean * count, count, 0};
+}
+
+/// Object of a store with conditional updates; a version of 0 means absent.
+template<typename Content>
+struct StoredObject {
+    Content content;
+    int version = 0;
+
+    bool update(int expectedVersion, Content changed)
+    {
+        if (expectedVersion != this->version) {
+            return false;
+        }
+        this->content = std::move(changed);
+        ++this->version;
+        return true;
+    }
+};
+
+/// Instance that acts on what it has read before, as after a pause.
+struct Holder {
+    std::string name;
+    RolloutLease lease;
+    Rollout seen;
+    int seenVersion = 0;
+};
+} // namespace
+
+// Guards against a roll-out that skips a stage, starts one without weights, or never ends.
+TEST_CASE("A good version passes all stages, each after its weights are loaded")
+{
+    Rollout rollout = makeRollout("blazon", "1", "2", start);
+    WallTime now = start;
+    for (std::size_t stage = 0; stage < exposureStages.size(); ++stage) {
+        const double before = exposureShare(rollout);
+        rollout = advance(rollout, replicasNeeded(rollout, replicas) - 1, replicas, now);
+        CHECK(exposureShare(rollout) == before);
+        rollout = advance(rollout, replicasNeeded(rollout, replicas), replicas, now);
+        CHECK(exposureShare(rollout) == exposureStages[stage]);
+        CHECK_FALSE(isExposed(rollout, SessionPin::Pinned, 0));
+        rollout = recordObservation(rollout, reference, ratingsOf(0.8, 200), now);
+        CHECK(advance(rollout, replicas, replicas, now) == rollout);
+        now += std::chrono::seconds(120);
+        rollout = advance(rollout, replicas, replicas, now);
+    }
+    CHECK(rollout.phase == RolloutPhase::Completed);
+}
+
+// Guards against a bad version that stays in use, and against a good one that is lost to one unlucky sample.
+TEST_CASE("A bad verdict pauses, and late ratings withdraw or resume")
+{
+    Rollout rollout = advance(makeRollout("blazon", "1", "2", start), replicas, replicas, start);
+    rollout = recordObservation(rollout, reference, ratingsOf(0.6, 20), start);
+    REQUIRE(rollout.phase == RolloutPhase::Paused);
+    CHECK_FALSE(isExposed(rollout, SessionPin::None, 0));
+    CHECK(recordObservation(rollout, reference, ratingsOf(0.6, 20), start).phase == RolloutPhase::Withdrawn);
+    CHECK(recordObservation(rollout, reference, ratingsOf(0.8, 20), start).phase == RolloutPhase::Loading);
+    CHECK(advance(rollout, replicas, replicas, start + std::chrono::seconds(600)).phase == RolloutPhase::Withdrawn);
+}
+
+// Guards against a version that fails without ever being rated.
+TEST_CASE("Errors alone pause the roll-out")
+{
+    Rollout rollout = advance(makeRollout("blazon", "1", "2", start), replicas, replicas, start);
+    rollout = recordObservation(rollout, reference, {0, 0, 10, 4}, start);
+    CHECK(rollout.phase == RolloutPhase::Paused);
+}
+
+// Guards against an operator's pause that the test or a timeout undoes.
+TEST_CASE("An operator's pause lasts until the operator resumes")
+{
+    Rollout rollout = advance(makeRollout("blazon", "1", "2", start), replicas, replicas, start);
+    CHECK(resume(rollout, start).error().code == "not_paused");
+    rollout = pause(rollout, start).value();
+    CHECK(recordObservation(rollout, reference, ratingsOf(0.8, 500), start) == rollout);
+    CHECK(advance(rollout, replicas, replicas, start + std::chrono::hours(48)) == rollout);
+    CHECK(resume(rollout, start).value().phase == RolloutPhase::Loading);
+    CHECK(resume(withdraw(rollout, start).value(), start).error().code == "rollout_finished");
+}
+
+// Guards against a state that changes on its way through the store.
+TEST_CASE("The stored form reads back unchanged and malformed forms are refused")
+{
+    Rollout rollout = advance(makeRollout("blazon", "1", "2", start), replicas, replicas, start);
+    rollout = takeOver(recordObservation(rollout, reference, ratingsOf(0.79, 3), start), 4);
+    CHECK(rolloutFromStoredJson(toStoredJson(rollout)).value() == rollout);
+    rollout.stage = 5;
+    CHECK(rolloutFromStoredJson(toStoredJson(rollout)).error().code == "invalid_rollout");
+    CHECK(rolloutFromStoredJson("{}").error().code == "invalid_rollout");
+}
+
+// Guards against two holders that both advance a stage after one of them was paused, and against a withdrawn version that
+// is exposed again by a former holder, an operator or a second roll-out.
+TEST_CASE("Holders with pauses advance each stage once and never expose a withdrawn version")
+{
+    CHECK(rc::check([] {
+        StoredObject<RolloutLease> lease;
+        StoredObject<Rollout> object;
+        Holder holders[2] = {{"a", {}, {}, 0}, {"b", {}, {}, 0}};
+        WallTime now = start;
+        bool withdrawn = false;
+        const int steps = *rc::gen::inRange(0, 150);
+        for (int i = 0; i < steps; ++i) {
+            Holder &holder = holders[*rc::gen::inRange(0, 2)];
+            const int action = *rc::gen::inRange(0, 8);
+            const Rollout before = object.content;
+            bool written = false;
+            if (action == 0) {
+                now += std::chrono::seconds(*rc::gen::inRange(1, 130));
+            } else if (action == 1) {
+                const auto claimed = claimLease(lease.content, holder.name, now);
+                if (claimed && lease.update(lease.version, *claimed)) {
+                    holder.lease = *claimed;
+                    holder.seen = object.content;
+                    holder.seenVersion = object.version;
+                    const Rollout first = makeRollout("blazon", "1", "2", now);
+                    const Rollout taken = takeOver(object.version == 0 ? first : holder.seen, claimed->term);
+                    written = object.update(holder.seenVersion, taken);
+                    holder.seen = object.content;
+                    holder.seenVersion = object.version;
+                }
+            } else if (holder.seenVersion > 0) {
+                // Acts without a look at the clock, as a process does that was paused after it checked its lease.
+                Rollout changed = holder.seen;
+                if (action == 2) {
+                    changed = recordObservation(changed, reference, ratingsOf(0.6, *rc::gen::inRange(1, 20)), now);
+                } else if (action == 3) {
+                    changed = recordObservation(changed, reference, ratingsOf(0.8, 40), now);
+                } else if (action == 4 && resume(changed, now)) {
+                    changed = resume(changed, now).value();
+                } else {
+                    changed = advance(changed, replicas, replicas, now);
+                }
+                written = object.update(holder.seenVersion, changed);
+                if (written) {
+                    RC_ASSERT(changed.term == lease.content.term);
+                    holder.seen = changed;
+                    holder.seenVersion = object.version;
+                }
+            }
+            if (!written) {
+                RC_ASSERT(object.content == before);
+                continue;
+            }
+            RC_ASSERT(object.content.stage >= before.stage);
+            RC_ASSERT(object.content.stage <= before.stage + 1);
+            withdrawn = withdrawn || object.content.phase == RolloutPhase::Withdrawn;
+            RC_ASSERT(!withdrawn || !isExposed(object.content, SessionPin::None, 0));
+        }
+    }));
+}
+
+// Guards against a lease that two instances hold at once, also with clocks that differ by the permitted error.
+TEST_CASE("A lease has one holder at a time")
+{
+    const RolloutLease first = claimLease({}, "a", start).value();
+    CHECK(first.term == 1);
+    CHECK(claimLease(first, "a", start + std::chrono::seconds(5))->term == 1);
+    CHECK_FALSE(claimLease(first, "b", start + std::chrono::milliseconds(10400)));
+    CHECK_FALSE(holdsLease(first, "a", start + std::chrono::milliseconds(9500)));
+    CHECK(claimLease(first, "b", start + std::chrono::milliseconds(10500))->term == 2);
+}
