Pin sessions to their version with signed tokens and one store object each

Cause: a session changed its version whenever a newer one became stable. A pin now travels in a signed token; a bare id is pinned by a create-if-absent write, so two first requests at once on two instances agree. A withdrawn version wins over the session: it moves once, by conditional update, and the answer says so.

Ruled out: a hash of the session over the exposure (moves sessions as the exposure grows) and a guess during a store outage (could contradict the stored pin, so a bare id that is not cached is refused, ran: no).

--- a/Services/Router/ChatHandler.cpp
+++ b/Services/Router/ChatHandler.cpp
@@ -1,6 +1,7 @@
 #include "ChatHandler.h"
 
 #include "LibCore/Log.h"
+#include "RunOn.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -19,6 +20,14 @@
 {
 constexpr Microunits tokensPerPrice = 1000;
 
+/// Whether the account may start new work on a pinned version.
+bool isInService(const RoutingSnapshot &snapshot, const ClientAccount &account, const SessionPin &pin)
+{
+    const auto model = snapshot.site().models.find(pin.model);
+    const ModelVersion *version = model == snapshot.site().models.end() ? nullptr : findVersion(model->second, pin.version);
+    return version != nullptr && version->state != VersionState::Withdrawn && isAllowed(account, pin.model, pin.version);
+}
+
 Microunits roundedUp(Microunits value, Microunits divisor)
 {
     return (value + divisor - 1) / divisor;
@@ -42,7 +51,10 @@
     if (!deadline) {
         co_return co_await this->refuse(deadline.error());
     }
-    const auto choice = this->chooseModel(request.value());
+    auto choice = this->chooseModel(request.value());
+    if (choice) {
+        choice = co_await this->applySession(request.value(), choice.value());
+    }
     if (!choice) {
         co_return co_await this->refuse(choice.error());
     }
@@ -105,6 +117,38 @@
     return ModelChoice {name, version->name};
 }
 
+Asio::awaitable<Outcome<ModelChoice, ApiError>> ChatHandler::applySession(const ChatRequest &request, ModelChoice choice)
+{
+    const std::string value = headerValue(this->exchange.request().headers, "Godwitfork-Session");
+    if (value.empty()) {
+        co_return choice;
+    }
+    const std::string &key = this->worker.settings.sessionKey;
+    const auto header = parseSessionHeader(this->account.name, value, key);
+    if (!header) {
+        co_return apiError("invalid_request", header.error().message, Ran::No, "Godwitfork-Session");
+    }
+    PinRequest pinRequest;
+    pinRequest.name = {this->account.name, header.value().id, request.model};
+    if (header.value().hasPin() && header.value().requestedModel == request.model) {
+        pinRequest.token = header.value().pin;
+    }
+    pinRequest.proposed = {choice.model, choice.version};
+    pinRequest.isInService = [snapshot = this->snapshot, account = this->account](const SessionPin &pin) { return isInService(*snapshot, account, pin); };
+    pinRequest.withdrawn = this->account.onWithdrawn == OnWithdrawn::Refuse ? WithdrawnPin::Refuse : WithdrawnPin::Replace;
+
+    const SessionName name = pinRequest.name;
+    ControlPlane &control = this->worker.control;
+    const auto result = co_await runOn(control.executionContext(), control.sessions().resolve(std::move(pinRequest)));
+    if (!result) {
+        co_return result.error();
+    }
+    const SessionPin &pin = result.value().pin;
+    this->facts.session = makeSessionToken(name, pin, key);
+    this->facts.sessionMovedFrom = result.value().movedFrom;
+    co_return ModelChoice {pin.model, pin.version};
+}
+
 Asio::awaitable<std::string> ChatHandler::refuse(ApiError error)
 {
     logEvent(LogLevel::Info,
--- a/Services/Router/ControlPlane.cpp
+++ b/Services/Router/ControlPlane.cpp
@@ -35,6 +35,7 @@
     , client(context)
     , store(this->client, settings.store, settings.storeTimeout)
     , ledgerService(context, this->store, status, this->incarnationName, settings.failureDomain)
+    , sessionService(this->store)
 {
 }
 
@@ -58,6 +59,11 @@
     return this->ledgerService;
 }
 
+SessionService &ControlPlane::sessions()
+{
+    return this->sessionService;
+}
+
 ObjectStoreClient &ControlPlane::objectStore()
 {
     return this->store;
--- a/Services/Router/ControlPlane.h
+++ b/Services/Router/ControlPlane.h
@@ -6,6 +6,7 @@
 #include "RouterSettings.h"
 #include "RouterStatus.h"
 #include "RoutingSnapshot.h"
+#include "SessionService.h"
 
 #include <functional>
 #include <string>
@@ -27,6 +28,7 @@
 
     boost::asio::io_context &executionContext();
     LedgerService &ledger();
+    SessionService &sessions();
     ObjectStoreClient &objectStore();
     /// Name of this run of the process: the instance's name and a random part.
     const std::string &incarnation() const;
@@ -44,6 +46,7 @@
     HttpClient client;
     ObjectStoreClient store;
     LedgerService ledgerService;
+    SessionService sessionService;
     SnapshotListener listener;
     ObjectVersion revision = 0;
 };
--- a/Services/Router/RouterSettings.cpp
+++ b/Services/Router/RouterSettings.cpp
@@ -3,12 +3,16 @@
 #include "LibSettings/SettingsReader.h"
 
 #include <sstream>
+#include <system_error>
 
 namespace Godwitfork
 {
 
 namespace
 {
+/// 128 bits, below which an HMAC key can be guessed.
+constexpr std::size_t minKeyBytes = 16;
+
 HttpAddress readAddress(SettingsReader &reader, const std::string &key)
 {
     const std::string text = reader.requiredText(key);
@@ -19,6 +23,23 @@
     return address;
 }
 
+std::string readKey(SettingsReader &reader, const std::string &key, const std::string &path)
+{
+    if (path.empty()) {
+        return {};
+    }
+    try {
+        std::string content = readFile(path);
+        if (content.size() < minKeyBytes) {
+            reader.addFinding(key, "the key must have at least " + std::to_string(minKeyBytes) + " bytes");
+        }
+        return content;
+    } catch (const std::system_error &error) {
+        reader.addFinding(key, error.what());
+        return {};
+    }
+}
+
 LogLevel readLogLevel(SettingsReader &reader)
 {
     const std::string name = reader.text("log_level", "info");
@@ -77,6 +98,7 @@
     settings.maxBodyBytes = reader.integer("max_body_bytes", 1024 * 1024, 1024, 64L * 1024 * 1024);
     settings.maxConnections = reader.integer("max_connections", 4096, 1, 100000);
     settings.sessionKeyFile = reader.requiredText("session_key_file");
+    settings.sessionKey = readKey(reader, "session_key_file", settings.sessionKeyFile);
     findings.append(reader.finish());
     return settings;
 }
--- a/Services/Router/RouterSettings.h
+++ b/Services/Router/RouterSettings.h
@@ -29,6 +29,8 @@
     long maxBodyBytes = 1024 * 1024;
     long maxConnections = 4096;
     std::string sessionKeyFile;
+    /// Content of `sessionKeyFile`; never logged or printed.
+    std::string sessionKey;
 };
 
 /// Reads settings from YAML text; adds every mistake to `findings`.
