Keep a margin of two standard errors above the quality target

Cause: the multiplier held the noisy ratings at the target, so the true average of about every second account ended just below it.

The multiplier now steers the sum of ratings to two standard errors above the target, with the errors as seen between estimates and ratings.

--- a/Libraries/LibCascade/QualityMultiplier.cpp
+++ b/Libraries/LibCascade/QualityMultiplier.cpp
@@ -1,6 +1,7 @@
 #include "LibCascade/QualityMultiplier.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Godwitfork
 {
@@ -16,28 +17,39 @@
 // two corrections oscillate.
 constexpr double integralGain = 0.0004;
 constexpr double maximumPrice = 100;
+// Standard errors of the sum of ratings that the multiplier keeps above the target. Without a margin the true average
+// of every second account ends just below its target.
+constexpr double marginErrors = 2;
+
+/// Deficit beyond the one that keeps the margin.
+double steeredDeficit(const QualityMultiplier &multiplier)
+{
+    return multiplier.deficit + marginErrors * std::sqrt(multiplier.squaredErrors);
+}
 } // namespace
 
 QualityMultiplier makeMultiplier(double target, Microunits costScale)
 {
-    return {target, costScale, 0, initialPrice};
+    return {target, costScale, 0, initialPrice, 0};
 }
 
 double multiplierValue(const QualityMultiplier &multiplier)
 {
-    const double price = multiplier.basePrice + proportionalGain * multiplier.deficit;
+    const double price = multiplier.basePrice + proportionalGain * steeredDeficit(multiplier);
     return std::clamp(price, 0.0, maximumPrice) * static_cast<double>(multiplier.costScale);
 }
 
 void recordDelivery(QualityMultiplier &multiplier, double expectedRating)
 {
     multiplier.deficit += multiplier.target - expectedRating;
-    multiplier.basePrice = std::clamp(multiplier.basePrice + integralGain * multiplier.deficit, 0.0, maximumPrice);
+    multiplier.basePrice = std::clamp(multiplier.basePrice + integralGain * steeredDeficit(multiplier), 0.0, maximumPrice);
 }
 
 void recordLateRating(QualityMultiplier &multiplier, double expectedRating, double rating)
 {
-    multiplier.deficit += expectedRating - rating;
+    const double error = expectedRating - rating;
+    multiplier.deficit += error;
+    multiplier.squaredErrors += error * error;
 }
 
 } // namespace Godwitfork
--- a/Libraries/LibCascade/QualityMultiplier.h
+++ b/Libraries/LibCascade/QualityMultiplier.h
@@ -17,6 +17,8 @@
     double deficit = 0;
     /// Long-term price in units of `costScale` for one unit of rating.
     double basePrice = 0;
+    /// Sum of squared differences between ratings and their estimates.
+    double squaredErrors = 0;
 
     auto operator<=>(const QualityMultiplier &) const = default;
 };
--- a/Tests/LibCascade/TestCascade.cpp
+++ b/Tests/LibCascade/TestCascade.cpp
@@ -116,3 +116,16 @@
     }
     CHECK(multiplierValue(multiplier) < raised);
 }
+
+// Guards against an average that ends just below the target because ratings are noisy.
+TEST_CASE("Noisy ratings raise the multiplier even when their average is at the target")
+{
+    QualityMultiplier exact = makeMultiplier(0.8, 1000);
+    QualityMultiplier noisy = exact;
+    for (int i = 0; i < 100; ++i) {
+        recordDelivery(exact, 0.8);
+        recordDelivery(noisy, 0.8);
+        recordLateRating(noisy, 0.8, i % 2 == 0 ? 0.6 : 1.0);
+    }
+    CHECK(multiplierValue(noisy) > multiplierValue(exact));
+}
