Reset the evidence against a candidate when it falls below zero

Cause: ratings from a long good time had to be outweighed before a later change showed.

Pausing now uses Page's test beside the plain test that clears a stage.

--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -70,15 +70,15 @@
         return rollout;
     }
     rollout.test = observe(rollout.test, reference, observation);
-    const TestVerdict result = verdict(rollout.test);
     if (rollout.phase == RolloutPhase::Paused) {
+        const TestVerdict result = verdict(rollout.test);
         if (result == TestVerdict::Bad) {
             return enter(std::move(rollout), RolloutPhase::Withdrawn, now);
         }
         // The weights may have been unloaded during the pause.
         return result == TestVerdict::Good ? enter(std::move(rollout), RolloutPhase::Loading, now) : rollout;
     }
-    return result == TestVerdict::Bad ? enter(std::move(rollout), RolloutPhase::Paused, now) : rollout;
+    return hasAlarm(rollout.test) ? enter(std::move(rollout), RolloutPhase::Paused, now) : rollout;
 }
 
 Rollout advance(Rollout rollout, int loadedReplicas, int replicas, WallTime now)
--- a/Libraries/LibRollout/RolloutJson.cpp
+++ b/Libraries/LibRollout/RolloutJson.cpp
@@ -23,6 +23,8 @@
                                    {"phase_started_us", rollout.phaseStarted.time_since_epoch().count()},
                                    {"rating_evidence", rollout.test.ratingEvidence},
                                    {"error_evidence", rollout.test.errorEvidence},
+                                   {"rating_alarm", rollout.test.ratingAlarm},
+                                   {"error_alarm", rollout.test.errorAlarm},
                                    {"paused_by_operator", rollout.pausedByOperator}};
     return object.dump();
 }
@@ -42,6 +44,8 @@
         rollout.phaseStarted = WallTime(Duration(object.at("phase_started_us").get<std::int64_t>()));
         object.at("rating_evidence").get_to(rollout.test.ratingEvidence);
         object.at("error_evidence").get_to(rollout.test.errorEvidence);
+        object.at("rating_alarm").get_to(rollout.test.ratingAlarm);
+        object.at("error_alarm").get_to(rollout.test.errorAlarm);
         object.at("paused_by_operator").get_to(rollout.pausedByOperator);
         if (rollout.stage >= exposureStages.size()) {
             return Error {"invalid_rollout", "stage " + std::to_string(rollout.stage) + " does not exist"};
--- a/Libraries/LibRollout/SequentialTest.cpp
+++ b/Libraries/LibRollout/SequentialTest.cpp
@@ -40,13 +40,17 @@
     const double good = reference.meanRating;
     const double bad = good * badRatingFactor;
     const double ratings = static_cast<double>(observation.ratings);
-    test.ratingEvidence += (good - bad) / varianceOf(reference) * (ratings * (good + bad) / 2 - observation.ratingSum);
+    const double ratingRatio = (good - bad) / varianceOf(reference) * (ratings * (good + bad) / 2 - observation.ratingSum);
+    test.ratingEvidence += ratingRatio;
+    test.ratingAlarm = std::max(0.0, test.ratingAlarm + ratingRatio);
 
     const double goodRate = std::clamp(reference.errorRate, minimumErrorRate, maximumErrorRate / 2);
     const double badRate = std::min(goodRate * badErrorFactor + badErrorAddition, maximumErrorRate);
     const double errors = static_cast<double>(observation.errors);
     const double successes = static_cast<double>(observation.answers) - errors;
-    test.errorEvidence += errors * std::log(badRate / goodRate) + successes * std::log((1 - badRate) / (1 - goodRate));
+    const double errorRatio = errors * std::log(badRate / goodRate) + successes * std::log((1 - badRate) / (1 - goodRate));
+    test.errorEvidence += errorRatio;
+    test.errorAlarm = std::max(0.0, test.errorAlarm + errorRatio);
     return test;
 }
 
@@ -61,6 +65,11 @@
     return TestVerdict::Undecided;
 }
 
+bool hasAlarm(const SequentialTest &test)
+{
+    return std::max(test.ratingAlarm, test.errorAlarm) >= upperBoundary();
+}
+
 double expectedSampleNumber(const ReferenceQuality &reference)
 {
     const double difference = reference.meanRating * (1 - badRatingFactor);
--- a/Libraries/LibRollout/SequentialTest.h
+++ b/Libraries/LibRollout/SequentialTest.h
@@ -30,6 +30,10 @@
 struct SequentialTest {
     double ratingEvidence = 0;
     double errorEvidence = 0;
+    /// The same ratios, reset to 0 whenever they fall below it (Page's test), so that a long good time does not delay
+    /// the detection of a later change.
+    double ratingAlarm = 0;
+    double errorAlarm = 0;
 
     auto operator<=>(const SequentialTest &) const = default;
 };
@@ -40,6 +44,8 @@
 SequentialTest observe(SequentialTest test, const ReferenceQuality &reference, const CandidateObservation &observation);
 /// Bad if either measure is bad, good if the ratings are good.
 TestVerdict verdict(const SequentialTest &test);
+/// Whether a version that was good may have turned bad.
+bool hasAlarm(const SequentialTest &test);
 
 /// Expected number of ratings until the verdict on a version whose rating fell by a quarter (Wald's approximation).
 double expectedSampleNumber(const ReferenceQuality &reference);
--- a/Tests/LibRollout/TestRollout.cpp
+++ b/Tests/LibRollout/TestRollout.cpp
@@ -75,6 +75,14 @@
     CHECK(advance(rollout, replicas, replicas, start + std::chrono::seconds(600)).phase == RolloutPhase::Withdrawn);
 }
 
+// Guards against a long good time that delays the detection of a later change.
+TEST_CASE("A version that turns bad after many good ratings is paused as early as a new one")
+{
+    Rollout rollout = advance(makeRollout("blazon", "1", "2", start), replicas, replicas, start);
+    rollout = recordObservation(rollout, reference, ratingsOf(0.8, 10000), start);
+    CHECK(recordObservation(rollout, reference, ratingsOf(0.6, 20), start).phase == RolloutPhase::Paused);
+}
+
 // Guards against a version that fails without ever being rated.
 TEST_CASE("Errors alone pause the roll-out")
 {
