Add members, gossip and the configuration lease (LibMembership)

Cause: an accepted configuration must be in force everywhere within 5 s and never revert, also without the store.

Ruled out: comparing arrival times. A frozen link or watch may deliver an old message late, so every age counts from a time of the own clock: store answers from their request, heartbeats by their number, gossip from the echoed message. Merging ages from a sender with a greater revision before adopting it: a majority of holders could then confirm the old revision. Requiring equal member lists before ages are read: lists may differ through a whole store outage.

Gossip carries one bit for each member that holds the sender's revision, so that an instance can report acceptance of a revision within seconds.

--- /dev/null
+++ b/Libraries/LibMembership/Membership.cpp
@@ -0,0 +1,213 @@
+#include "LibMembership/Membership.h"
+
+#include <algorithm>
+
+namespace Godwitfork
+{
+
+namespace
+{
+constexpr std::size_t keptSentTimes = 4;
+// Relative error allowed between two instances' clocks while a peer holds an echo.
+constexpr int driftDivisor = 1000;
+// A list of 330 members has about 26 KB, so it is not repeated with each exchange while two lists differ.
+constexpr Duration exchangeMemory = std::chrono::minutes(5);
+// A configuration has up to 1 MB, and several peers announce a revision at once.
+constexpr Duration configurationRequestInterval = std::chrono::milliseconds(300);
+constexpr Duration listRepeatInterval = std::chrono::seconds(5);
+} // namespace
+
+Membership::Membership(PeerMember self, MembershipLimits limits)
+    : self(self), limits(limits), table(std::move(self), limits.members), configurationLease(limits.lease)
+{
+}
+
+OutgoingMessage Membership::makeGossip(const std::string &receiver, GossipKind kind, MonotonicTime now)
+{
+    Exchange &exchange = this->exchanges[receiver];
+    Gossip gossip;
+    gossip.sender = this->self.incarnation;
+    gossip.kind = kind;
+    gossip.memberListHash = this->table.listHash();
+    gossip.ages = this->table.ages(now);
+    gossip.configurationRevision = this->configurationLease.revision();
+    if (const auto since = this->table.majoritySign(now)) {
+        this->configurationLease.confirmByMajority(*since);
+    }
+    if (const auto age = this->configurationLease.confirmationAge(now)) {
+        // Rounded up, so that the confirmation never looks newer than it is.
+        const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(*age).count();
+        gossip.confirmationAgeMs = static_cast<std::uint32_t>(std::clamp<std::int64_t>(milliseconds, 0, neverConfirmed));
+    }
+    gossip.storeReachable = this->configurationLease.isStoreReachable(now);
+    gossip.holders = this->table.holders();
+    gossip.sequence = ++this->lastSequence;
+    gossip.echoSequence = exchange.newestReceived;
+    if (exchange.newestReceived > 0) {
+        gossip.echoHoldMs = static_cast<std::uint32_t>(std::chrono::floor<std::chrono::milliseconds>(now - exchange.receivedAt).count());
+    }
+    exchange.sentTimes.emplace_back(gossip.sequence, now);
+    if (exchange.sentTimes.size() > keptSentTimes) {
+        exchange.sentTimes.pop_front();
+    }
+    return {receiver, std::move(gossip)};
+}
+
+OutgoingMessages Membership::gossip(RandomSource &random, MonotonicTime now)
+{
+    OutgoingMessages messages;
+    for (const std::string &peer : this->table.choosePeers(random, this->limits.gossipPeers, now)) {
+        messages.push_back(this->makeGossip(peer, GossipKind::Request, now));
+    }
+    std::erase_if(this->exchanges, [now](const auto &entry) {
+        return now - entry.second.receivedAt > exchangeMemory
+            && (entry.second.sentTimes.empty() || now - entry.second.sentTimes.back().second > exchangeMemory);
+    });
+    return messages;
+}
+
+OutgoingMessages Membership::announce(RandomSource &random, MonotonicTime now)
+{
+    OutgoingMessages messages;
+    for (const std::string &peer : this->table.choosePeers(random, this->limits.announcedPeers, now)) {
+        messages.push_back(this->makeGossip(peer, GossipKind::Request, now));
+    }
+    return messages;
+}
+
+// The peer created the message at least `echoHoldMs` after it received the echoed one, which was sent at a known time of the
+// own clock. No clock times of two instances are compared.
+std::optional<MonotonicTime> Membership::creationBound(const Exchange &exchange, const Gossip &gossip, MonotonicTime now) const
+{
+    for (const auto &[sequence, sentAt] : exchange.sentTimes) {
+        if (sequence == gossip.echoSequence) {
+            const Duration hold = std::chrono::milliseconds(gossip.echoHoldMs);
+            return std::min(now, sentAt + hold - hold / driftDivisor);
+        }
+    }
+    return std::nullopt;
+}
+
+OutgoingMessages Membership::receiveGossip(const std::string &sender, const Gossip &gossip, MonotonicTime now)
+{
+    if (gossip.sender != sender) {
+        return {};
+    }
+    Exchange &exchange = this->exchanges[sender];
+    if (gossip.sequence > exchange.newestReceived) {
+        exchange.newestReceived = gossip.sequence;
+        exchange.receivedAt = now;
+    }
+    OutgoingMessages messages;
+    const std::uint64_t own = this->configurationLease.revision();
+    if (gossip.configurationRevision > own) {
+        // Signs of life that the sender carries may come from holders of its revision. Taking them while still on the old
+        // revision would let a majority of holders confirm the old one, so they wait until the revision is adopted.
+        if (this->requestedRevision < gossip.configurationRevision || now - this->requestedAt >= configurationRequestInterval) {
+            this->requestedRevision = gossip.configurationRevision;
+            this->requestedAt = now;
+            messages.push_back({sender, ConfigurationRequest {gossip.configurationRevision}});
+        }
+    } else {
+        if (const auto created = this->creationBound(exchange, gossip, now)) {
+            this->table.addSign(sender, *created);
+            this->table.mergeAges(gossip.memberListHash, gossip.ages, *created);
+            if (gossip.confirmationAgeMs != neverConfirmed) {
+                this->configurationLease.confirmByPeer(gossip.configurationRevision, *created - std::chrono::milliseconds(gossip.confirmationAgeMs));
+            }
+        }
+        if (gossip.configurationRevision == own) {
+            this->table.addHolder(sender);
+            this->table.mergeHolders(gossip.memberListHash, gossip.holders);
+        }
+    }
+    const std::uint64_t ownHash = this->table.listHash();
+    const bool isRepeated = exchange.listSentWithHash == ownHash && now - exchange.listSentAt < listRepeatInterval;
+    if (gossip.memberListHash != ownHash && !isRepeated) {
+        exchange.listSentWithHash = ownHash;
+        exchange.listSentAt = now;
+        messages.push_back({sender, MemberList {this->table.members()}});
+    }
+    if (gossip.kind == GossipKind::Request) {
+        messages.push_back(this->makeGossip(sender, GossipKind::Reply, now));
+    }
+    return messages;
+}
+
+OutgoingMessages Membership::receive(const std::string &sender, const PeerMessage &message, RandomSource &random, MonotonicTime now)
+{
+    if (const auto *gossip = std::get_if<Gossip>(&message)) {
+        return this->receiveGossip(sender, *gossip, now);
+    }
+    if (const auto *list = std::get_if<MemberList>(&message)) {
+        this->table.mergeList(list->members, now);
+    } else if (std::holds_alternative<ConfigurationRequest>(message)) {
+        return {{sender, ConfigurationReply {this->configurationLease.revision(), this->body}}};
+    } else if (const auto *reply = std::get_if<ConfigurationReply>(&message)) {
+        return this->adopt(reply->revision, reply->body, random, now);
+    } else if (const auto *leaving = std::get_if<Leaving>(&message)) {
+        // An instance speaks for itself only.
+        if (leaving->incarnation == sender) {
+            this->table.removeLeaving(sender);
+        }
+    }
+    return {};
+}
+
+OutgoingMessages Membership::adopt(std::uint64_t revision, const std::string &newBody, RandomSource &random, MonotonicTime now)
+{
+    if (!this->configurationLease.adopt(revision)) {
+        return {};
+    }
+    this->body = newBody;
+    this->table.clearHolders();
+    return this->announce(random, now);
+}
+
+OutgoingMessages
+Membership::takeFromStore(std::uint64_t revision, const std::string &newBody, MonotonicTime requestSent, RandomSource &random, MonotonicTime now)
+{
+    OutgoingMessages messages = this->adopt(revision, newBody, random, now);
+    this->configurationLease.confirmByStore(revision, requestSent);
+    return messages;
+}
+
+void Membership::takeHeartbeat(std::uint64_t revision, MonotonicTime watchSent, int heartbeat)
+{
+    this->configurationLease.confirmByHeartbeat(revision, watchSent, heartbeat);
+}
+
+void Membership::takeMemberList(const std::vector<PeerMember> &members, MonotonicTime now)
+{
+    this->table.setStoreList(members, now);
+}
+
+bool Membership::mayAdmit(MonotonicTime now)
+{
+    if (const auto since = this->table.majoritySign(now)) {
+        this->configurationLease.confirmByMajority(*since);
+    }
+    return this->configurationLease.mayAdmit(now);
+}
+
+std::uint64_t Membership::revision() const
+{
+    return this->configurationLease.revision();
+}
+
+const std::string &Membership::configuration() const
+{
+    return this->body;
+}
+
+const MemberTable &Membership::members() const
+{
+    return this->table;
+}
+
+const ConfigurationLease &Membership::lease() const
+{
+    return this->configurationLease;
+}
+
+} // namespace Godwitfork
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -41,6 +41,8 @@
     std::uint64_t configurationRevision = 0;
     std::uint32_t confirmationAgeMs = neverConfirmed;
     bool storeReachable = false;
+    /// One bit for each member, in the order of `ages`: the member holds this revision.
+    OpaqueBytes holders;
     /// Numbers the sender's gossip messages to this receiver from 1.
     std::uint64_t sequence = 0;
     /// Newest sequence that the sender has from this receiver, and the time since then, rounded down. Both let the receiver
--- a/Tests/LibPeer/TestPeerMessage.cpp
+++ b/Tests/LibPeer/TestPeerMessage.cpp
@@ -19,6 +19,7 @@
     gossip.configurationRevision = 7;
     gossip.confirmationAgeMs = 1200;
     gossip.storeReachable = true;
+    gossip.holders = {5};
     gossip.sequence = 9;
     gossip.echoSequence = 8;
     gossip.echoHoldMs = 41;
