Pass orders to plain services under claims, at most once for each key

Ruled out: checking not_after only when the store answers. The process may pause while it connects, so the HTTP client asks again on the open connection, directly before the first byte. Pooled connections for these calls: a connection that the service is closing cannot be told from one that delivered the request.

Change: ServiceHandler, ServiceCall and ClaimStore in the router; HttpCallOptions::mayWrite; one label for all service paths and one for unknown paths in the request metrics, since callers choose paths.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -202,6 +202,9 @@
 
     const auto message = makeMessage(address, std::move(request));
     stream->expires_after(options.answerTimeout);
+    if (options.mayWrite && !options.mayWrite()) {
+        co_return HttpClientError {SendPhase::NotSent, HttpFailure::Withheld, "withheld before the first byte"};
+    }
     co_await Http::async_write(*stream, message, Asio::redirect_error(Asio::use_awaitable, error));
     if (error) {
         co_return makeError(SendPhase::Sent, error);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -18,7 +19,14 @@
 /// How far a failed request got. Only `NotSent` proves that the peer did not act on it.
 enum class SendPhase { NotSent, Sent };
 
-enum class HttpFailure { Connect, Timeout, ConnectionLost, MalformedAnswer };
+enum class HttpFailure {
+    Connect,
+    Timeout,
+    ConnectionLost,
+    MalformedAnswer,
+    /// `HttpCallOptions::mayWrite` forbade the request.
+    Withheld,
+};
 
 struct HttpClientError {
     SendPhase phase = SendPhase::NotSent;
@@ -40,6 +48,8 @@
     /// Limit between two pieces of the answer's body; a connection that stays silent longer counts as lost.
     Duration idleTimeout = std::chrono::seconds(10);
     ConnectionReuse reuse = ConnectionReuse::Allowed;
+    /// Asked on the open connection directly before the request's first byte; false withholds the request.
+    std::function<bool()> mayWrite;
 };
 
 /// Answer whose body is read piece by piece. Destroying it before the end closes its connection, which cancels the
--- a/Libraries/LibLedger/Journal.cpp
+++ b/Libraries/LibLedger/Journal.cpp
@@ -161,8 +161,13 @@
     }
     active->ackedThrough = std::max(active->ackedThrough, std::min(ack.sequence, active->sentThrough));
     while (!active->unacknowledged.empty() && active->unacknowledged.front().sequence <= active->ackedThrough) {
+        active->unacknowledgedBytes -= active->unacknowledged.front().bytes;
         active->unacknowledged.pop_front();
     }
+    if (active->sentThrough < this->lastSequence() && this->groupDue == MonotonicTime::max()) {
+        // The window held entries back that no pending group will send.
+        this->groupDue = MonotonicTime::min();
+    }
 }
 
 void Journal::finishWrite(const std::string &batch, BatchWriteResult result, MonotonicTime now, RandomSource &random)
@@ -206,7 +211,7 @@
     }
     this->groupDue = MonotonicTime::max();
     for (Keeper &keeper : this->activeKeepers) {
-        if (keeper.sentThrough < this->lastSequence()) {
+        while (keeper.sentThrough < this->lastSequence() && keeper.unacknowledgedBytes < this->settings.windowBytes) {
             actions.appends.push_back({keeper.incarnation, this->nextAppend(keeper, now)});
         }
     }
@@ -221,11 +226,17 @@
     message.sequence = this->lastSequence();
     std::size_t bytes = 0;
     for (auto entry = this->entries.upper_bound(keeper.sentThrough); entry != this->entries.end(); ++entry) {
+        if (!message.entries.empty() && bytes + entry->second.bytes > this->settings.messageLimitBytes) {
+            message.sequence = message.entries.back().sequence;
+            message.complete = false;
+            break;
+        }
         bytes += entry->second.bytes;
         message.entries.push_back(entry->second);
     }
     keeper.sentThrough = message.sequence;
-    keeper.unacknowledged.push_back({message.sequence, now + this->settings.ackTimeout + transferAllowance(bytes)});
+    keeper.unacknowledgedBytes += bytes;
+    keeper.unacknowledged.push_back({message.sequence, bytes, now + this->settings.ackTimeout + transferAllowance(keeper.unacknowledgedBytes)});
     return message;
 }
 
--- a/Libraries/LibLedger/Journal.h
+++ b/Libraries/LibLedger/Journal.h
@@ -25,6 +25,10 @@
     Duration groupInterval = std::chrono::milliseconds(1);
     /// For the journal and the replicas held for other owners together.
     std::size_t memoryLimitBytes = 96UL * 1024UL * 1024UL;
+    /// Limit of one message, below the size that peer links accept.
+    std::size_t messageLimitBytes = 512UL * 1024UL;
+    /// Bytes that one keeper may have unacknowledged, below the queue of a peer link.
+    std::size_t windowBytes = 2UL * 1024UL * 1024UL;
     /// How long a keeper that timed out is passed over.
     Duration slowPeerPause = std::chrono::seconds(1);
 };
@@ -81,6 +85,7 @@
 private:
     struct Sent {
         std::uint64_t sequence = 0;
+        std::size_t bytes = 0;
         MonotonicTime deadline;
     };
 
@@ -90,6 +95,7 @@
         std::uint64_t sentThrough = 0;
         std::uint64_t ackedThrough = 0;
         std::deque<Sent> unacknowledged;
+        std::size_t unacknowledgedBytes = 0;
     };
 
     struct RetiredKeeper {
--- a/Libraries/LibLedger/JournalEntry.h
+++ b/Libraries/LibLedger/JournalEntry.h
@@ -32,8 +32,8 @@
     bool operator==(const JournalEntry &other) const;
 };
 
-/// Entries for one keeper. A term is one appointment of that keeper; its first message holds every entry that is not yet
-/// stored and has `previousSequence` 0.
+/// Entries for one keeper. A term is one appointment of that keeper. Its messages start with `previousSequence` 0 and
+/// together hold every entry that is not yet stored.
 struct JournalAppend {
     std::string owner;
     std::uint64_t term = 0;
@@ -41,6 +41,8 @@
     std::uint64_t previousSequence = 0;
     std::uint64_t sequence = 0;
     std::vector<JournalEntry> entries;
+    /// Nothing more is unsent, so whatever the keeper holds of earlier terms is superseded.
+    bool complete = true;
 
     bool operator==(const JournalAppend &) const = default;
 };
--- a/Libraries/LibLedger/JournalReplicas.cpp
+++ b/Libraries/LibLedger/JournalReplicas.cpp
@@ -21,31 +21,61 @@
         return JournalAck {message.owner, message.term, 0, ReplicaRelease::Keep};
     }
     if (message.term > replica.term) {
-        // The first message of a term holds everything that is not stored, so the earlier replica is superseded.
-        this->bytes -= bytesOf(replica);
-        replica = Replica {};
-        replica.term = message.term;
+        beginTerm(replica, message.term);
     }
     if (message.previousSequence <= replica.through && message.sequence > replica.through) {
-        this->bytes -= bytesOf(replica);
         for (const JournalEntry &entry : message.entries) {
             take(replica, entry);
         }
         replica.through = message.sequence;
-        this->bytes += bytesOf(replica);
+        if (message.complete) {
+            dropSuperseded(replica);
+        }
     }
     return JournalAck {message.owner, replica.term, replica.through, ReplicaRelease::Keep};
 }
 
+// Entries of the earlier term stay until the new one is complete, because the owner may die in between. Records among them
+// that are stored by then go with the next drop.
+void JournalReplicas::beginTerm(Replica &replica, std::uint64_t term)
+{
+    replica.term = term;
+    replica.through = 0;
+    replica.supersededOpen.clear();
+    for (const auto &[requestId, entry] : replica.open) {
+        replica.supersededOpen.insert(requestId);
+    }
+}
+
 void JournalReplicas::take(Replica &replica, const JournalEntry &entry)
 {
+    replica.supersededOpen.erase(entry.open.requestId);
     if (!entry.record) {
-        replica.open.emplace(entry.open.requestId, entry);
+        const bool added = replica.open.emplace(entry.open.requestId, entry).second;
+        replica.bytes += added ? entry.bytes : 0;
         return;
     }
-    replica.open.erase(entry.open.requestId);
+    eraseOpen(replica, entry.open.requestId);
     if (entry.sequence > replica.droppedThrough) {
-        replica.records.emplace(entry.sequence, entry);
+        const bool added = replica.records.emplace(entry.sequence, entry).second;
+        replica.bytes += added ? entry.bytes : 0;
+    }
+}
+
+void JournalReplicas::dropSuperseded(Replica &replica)
+{
+    for (const std::string &requestId : replica.supersededOpen) {
+        eraseOpen(replica, requestId);
+    }
+    replica.supersededOpen.clear();
+}
+
+void JournalReplicas::eraseOpen(Replica &replica, const std::string &requestId)
+{
+    const auto found = replica.open.find(requestId);
+    if (found != replica.open.end()) {
+        replica.bytes -= found->second.bytes;
+        replica.open.erase(found);
     }
 }
 
@@ -54,7 +84,7 @@
     const auto found = this->replicas.find(message.owner);
     if (message.release == ReplicaRelease::Release) {
         if (found != this->replicas.end() && found->second.term <= message.term) {
-            this->erase(found);
+            this->replicas.erase(found);
         }
         return JournalAck {message.owner, message.term, 0, ReplicaRelease::Release};
     }
@@ -64,7 +94,7 @@
     Replica &replica = found->second;
     const auto end = replica.records.upper_bound(message.throughSequence);
     for (auto entry = replica.records.begin(); entry != end; ++entry) {
-        this->bytes -= entry->second.bytes;
+        replica.bytes -= entry->second.bytes;
     }
     replica.records.erase(replica.records.begin(), end);
     replica.droppedThrough = std::max(replica.droppedThrough, message.throughSequence);
@@ -88,26 +118,8 @@
             settled.push_back(record.assume_value());
         }
     }
-    this->erase(found);
-    return settled;
-}
-
-void JournalReplicas::erase(std::map<std::string, Replica>::iterator found)
-{
-    this->bytes -= bytesOf(found->second);
     this->replicas.erase(found);
-}
-
-std::size_t JournalReplicas::bytesOf(const Replica &replica)
-{
-    std::size_t sum = 0;
-    for (const auto &[sequence, entry] : replica.records) {
-        sum += entry.bytes;
-    }
-    for (const auto &[requestId, entry] : replica.open) {
-        sum += entry.bytes;
-    }
-    return sum;
+    return settled;
 }
 
 std::vector<std::string> JournalReplicas::owners() const
@@ -121,7 +133,11 @@
 
 std::size_t JournalReplicas::memoryBytes() const
 {
-    return this->bytes;
+    std::size_t sum = 0;
+    for (const auto &[owner, replica] : this->replicas) {
+        sum += replica.bytes;
+    }
+    return sum;
 }
 
 } // namespace Godwitfork
--- a/Libraries/LibLedger/JournalReplicas.h
+++ b/Libraries/LibLedger/JournalReplicas.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,14 +36,17 @@
         std::uint64_t droppedThrough = 0;
         std::map<std::uint64_t, JournalEntry> records;
         std::map<std::string, JournalEntry> open;
+        /// Open requests of earlier terms that the present term has not sent yet.
+        std::set<std::string> supersededOpen;
+        std::size_t bytes = 0;
     };
 
-    static std::size_t bytesOf(const Replica &replica);
+    static void beginTerm(Replica &replica, std::uint64_t term);
     static void take(Replica &replica, const JournalEntry &entry);
-    void erase(std::map<std::string, Replica>::iterator found);
+    static void dropSuperseded(Replica &replica);
+    static void eraseOpen(Replica &replica, const std::string &requestId);
 
     std::map<std::string, Replica> replicas;
-    std::size_t bytes = 0;
 };
 
 } // namespace Godwitfork
--- a/Libraries/LibLedger/RecordCodec.cpp
+++ b/Libraries/LibLedger/RecordCodec.cpp
@@ -151,6 +151,7 @@
     Json value = header("JournalAppend", message.owner, message.term);
     value["previous_sequence"] = message.previousSequence;
     value["sequence"] = message.sequence;
+    value["complete"] = message.complete;
     Json &entries = value["entries"] = Json::array();
     for (const JournalEntry &entry : message.entries) {
         entries.push_back(toJson(entry));
@@ -168,6 +169,7 @@
         value.at("term").get_to(message.term);
         value.at("previous_sequence").get_to(message.previousSequence);
         value.at("sequence").get_to(message.sequence);
+        value.at("complete").get_to(message.complete);
         for (const Json &entry : value.at("entries")) {
             message.entries.push_back(TRY(readEntry(entry)));
         }
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -70,26 +70,23 @@
     auto operator<=>(const ConfigurationReply &) const = default;
 };
 
-struct JournalAppend {
-    std::string owner;
-    std::uint64_t sequence = 0;
-    std::vector<OpaqueBytes> entries;
+/// Messages of the write-ahead journal. LibLedger encodes and decodes the bodies.
+struct JournalAppendMessage {
+    OpaqueBytes body;
 
-    auto operator<=>(const JournalAppend &) const = default;
+    auto operator<=>(const JournalAppendMessage &) const = default;
 };
 
-struct JournalAck {
-    std::string owner;
-    std::uint64_t sequence = 0;
+struct JournalAckMessage {
+    OpaqueBytes body;
 
-    auto operator<=>(const JournalAck &) const = default;
+    auto operator<=>(const JournalAckMessage &) const = default;
 };
 
-struct JournalDrop {
-    std::string owner;
-    std::uint64_t throughSequence = 0;
+struct JournalDropMessage {
+    OpaqueBytes body;
 
-    auto operator<=>(const JournalDrop &) const = default;
+    auto operator<=>(const JournalDropMessage &) const = default;
 };
 
 struct EstimateDelta {
@@ -104,7 +101,7 @@
     auto operator<=>(const Leaving &) const = default;
 };
 
-using PeerMessage = std::variant<Gossip, MemberList, ConfigurationRequest, ConfigurationReply, JournalAppend, JournalAck, JournalDrop, EstimateDelta, Leaving>;
+using PeerMessage = std::variant<Gossip, MemberList, ConfigurationRequest, ConfigurationReply, JournalAppendMessage, JournalAckMessage, JournalDropMessage, EstimateDelta, Leaving>;
 
 /// CBOR of `{"type", "version", "body": [fields in the order of the struct]}`. An array instead of named fields keeps a
 /// gossip message for 330 members near 400 bytes.
--- a/Services/Router/CallerApi.cpp
+++ b/Services/Router/CallerApi.cpp
@@ -3,10 +3,13 @@
 #include "ChatHandler.h"
 #include "LibCore/Identifier.h"
 #include "LibCore/Log.h"
+#include "ServiceHandler.h"
 
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Godwitfork
 {
 
@@ -22,6 +25,16 @@
     return value.rfind(bearerPrefix, 0) == 0 ? value.substr(bearerPrefix.size()) : std::string {};
 }
 
+/// Label of a path in the metrics. Callers choose paths freely, so unknown ones share a label to bound their number.
+std::string routeLabel(const std::string &path)
+{
+    if (ServiceHandler::handles(path)) {
+        return "/v1/services";
+    }
+    const auto known = {"/healthz", "/readyz", "/metrics", "/v1/models", "/v1/chat/completions"};
+    return std::ranges::find(known, path) == known.end() ? "other" : path;
+}
+
 /// Counts a request as active for the graceful stop.
 class ActiveRequest
 {
@@ -60,13 +73,13 @@
     std::string failure;
     try {
         const std::string code = co_await this->dispatch(exchange, path);
-        this->worker.metrics.countRequest(path, code);
+        this->worker.metrics.countRequest(routeLabel(path), code);
         co_return;
     } catch (const std::exception &error) {
         failure = error.what();
     }
     logEvent(LogLevel::Error, "request.exception", {{"path", path}, {"reason", failure}});
-    this->worker.metrics.countRequest(path, "internal_error");
+    this->worker.metrics.countRequest(routeLabel(path), "internal_error");
     exchange.abort();
 }
 
@@ -113,7 +126,11 @@
         ChatHandler handler(this->worker, exchange, snapshot, *account, std::move(requestId));
         co_return co_await handler.run();
     }
-    const bool knownPath = path == "/v1/models" || path == "/v1/chat/completions";
+    if (ServiceHandler::handles(path) && method == "POST") {
+        ServiceHandler handler(this->worker, exchange, snapshot, *account, std::move(requestId));
+        co_return co_await handler.run();
+    }
+    const bool knownPath = path == "/v1/models" || path == "/v1/chat/completions" || ServiceHandler::handles(path);
     ApiError error = knownPath ? apiError("method_not_allowed", "this route does not take " + method) : apiError("not_found", "there is no route " + path);
     co_return co_await this->answerError(exchange, std::move(error), std::move(requestId));
 }
--- a/Services/Router/ChatHandler.cpp
+++ b/Services/Router/ChatHandler.cpp
@@ -1,15 +1,13 @@
 #include "ChatHandler.h"
 
 #include "LibCore/Log.h"
+#include "RequestDeadline.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-#include <charconv>
-
 namespace Godwitfork
 {
 
@@ -38,7 +36,7 @@
     if (!request) {
         co_return co_await this->refuse(request.error());
     }
-    const auto deadline = this->readDeadline();
+    const auto deadline = requestDeadline(this->exchange.request(), this->started, this->worker.settings);
     if (!deadline) {
         co_return co_await this->refuse(deadline.error());
     }
@@ -54,22 +52,6 @@
     co_return co_await this->finish(request.value(), std::move(result));
 }
 
-Outcome<MonotonicTime, ApiError> ChatHandler::readDeadline() const
-{
-    const std::string text = headerValue(this->exchange.request().headers, "Godwitfork-Deadline-Ms");
-    if (text.empty()) {
-        return this->started + this->worker.settings.defaultDeadline;
-    }
-    long long milliseconds = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-    const Duration limit = std::chrono::milliseconds(milliseconds);
-    if (parsed.ec != std::errc {} || parsed.ptr != text.data() + text.size() || milliseconds < 1 || limit > this->worker.settings.stopLimit) {
-        const auto maximum = std::chrono::duration_cast<std::chrono::milliseconds>(this->worker.settings.stopLimit).count();
-        return apiError("invalid_request", "Godwitfork-Deadline-Ms must be from 1 to " + std::to_string(maximum));
-    }
-    return this->started + limit;
-}
-
 Outcome<ModelChoice, ApiError> ChatHandler::checkExplicitVersion(const Model &model, const std::string &version) const
 {
     const ModelVersion *found = findVersion(model, version);
--- a/Services/Router/ChatHandler.h
+++ b/Services/Router/ChatHandler.h
@@ -33,7 +33,6 @@
 private:
     Outcome<ModelChoice, ApiError> chooseModel(const ChatRequest &request) const;
     Outcome<ModelChoice, ApiError> checkExplicitVersion(const Model &model, const std::string &version) const;
-    Outcome<MonotonicTime, ApiError> readDeadline() const;
     boost::asio::awaitable<std::string> refuse(ApiError error);
     boost::asio::awaitable<StepResult> execute(const ChatRequest &request, const ModelChoice &choice, MonotonicTime deadline);
     boost::asio::awaitable<bool> forward(std::string text);
--- /dev/null
+++ b/Services/Router/ClaimStore.cpp
@@ -0,0 +1,147 @@
+#include "ClaimStore.h"
+
+#include "LibCore/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Godwitfork
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+/// Orders are rare, so a retry each second adds little to a store that is just coming back.
+constexpr Duration retryDelay = std::chrono::seconds(1);
+
+ClaimWritten toClaimWritten(const StoreOutcome<ObjectVersion> &written)
+{
+    if (written) {
+        return {ClaimWriteResult::Written, written.value()};
+    }
+    switch (written.error().failure) {
+    case StoreFailure::Conflict:
+        return {ClaimWriteResult::Conflict, 0};
+    case StoreFailure::Unavailable:
+        return {ClaimWriteResult::NotSent, 0};
+    default:
+        // Any other answer does not prove that nothing was written.
+        return {ClaimWriteResult::Uncertain, 0};
+    }
+}
+
+ClaimRead toClaimRead(const StoreOutcome<StoredObject> &object)
+{
+    if (!object) {
+        const bool missing = object.error().failure == StoreFailure::NotFound;
+        return {missing ? ClaimReadResult::Missing : ClaimReadResult::Failed, {}, 0};
+    }
+    auto claim = decodeClaim(object.value().value);
+    if (!claim) {
+        logEvent(LogLevel::Error, "claim.malformed", {{"claim", object.value().name}, {"reason", claim.error().message}});
+        return {};
+    }
+    return {ClaimReadResult::Found, std::move(claim).value(), object.value().version};
+}
+
+Asio::awaitable<ClaimWritten> writeClaim(ObjectStoreClient &store, const std::string &name, const ClaimStep &step)
+{
+    const WriteCondition condition = step.action == ClaimAction::Create ? createOnly() : ifVersion(step.version);
+    const auto written = co_await store.write(name, encodeClaim(step.claim), condition);
+    co_return toClaimWritten(written);
+}
+
+Asio::awaitable<ClaimRead> readClaim(ObjectStoreClient &store, const std::string &name)
+{
+    const auto object = co_await store.read(name);
+    co_return toClaimRead(object);
+}
+
+const char *closingName(ClaimClosingResult result)
+{
+    return result == ClaimClosingResult::Recorded ? "recorded" : "overtaken";
+}
+
+/// Carries out one step of a closing that is not a pause. Returns the next step.
+Asio::awaitable<ClaimStep> closeStep(ObjectStoreClient &store, const std::string &name, ClaimClosing &closing, const ClaimStep &step)
+{
+    if (step.action == ClaimAction::Read) {
+        const ClaimRead found = co_await readClaim(store, name);
+        co_return closing.receive(found);
+    }
+    const ClaimWritten written = co_await writeClaim(store, name, step);
+    co_return closing.receive(written);
+}
+
+/// Runs until the closing finishes or the store does not respond.
+Asio::awaitable<ClaimAction> closeUntilWait(ObjectStoreClient &store, const std::string &name, ClaimClosing &closing)
+{
+    ClaimStep step = closing.start();
+    while (step.action != ClaimAction::Finished && step.action != ClaimAction::Wait) {
+        step = co_await closeStep(store, name, closing, step);
+    }
+    if (step.action == ClaimAction::Finished) {
+        logEvent(LogLevel::Info, "claim.closed", {{"claim", name}, {"result", closingName(closing.result())}});
+    }
+    co_return step.action;
+}
+
+Asio::awaitable<void> closeInBackground(Worker &worker, std::string name, ClaimClosing closing)
+{
+    logEvent(LogLevel::Warning, "claim.closing_delayed", {{"claim", name}});
+    ObjectStoreClient store(worker.client, worker.settings.store, worker.settings.storeTimeout);
+    ClaimAction last = ClaimAction::Wait;
+    while (last == ClaimAction::Wait) {
+        Asio::steady_timer pause(worker.context, retryDelay);
+        boost::system::error_code ignored;
+        co_await pause.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+        last = co_await closeUntilWait(store, name, closing);
+    }
+    worker.status.requestFinished();
+}
+} // namespace
+
+ClaimStore::ClaimStore(Worker &worker) : worker(worker)
+{
+}
+
+Asio::awaitable<ClaimStep> ClaimStore::attempt(std::string name, ClaimAttempt &attempt)
+{
+    ObjectStoreClient store(this->worker.client, this->worker.settings.store, this->worker.settings.storeTimeout);
+    ClaimStep step = attempt.start();
+    while (true) {
+        switch (step.action) {
+        case ClaimAction::Create:
+        case ClaimAction::Update: {
+            const ClaimWritten written = co_await writeClaim(store, name, step);
+            step = attempt.receive(written, wallNow());
+            break;
+        }
+        case ClaimAction::Read: {
+            const ClaimRead found = co_await readClaim(store, name);
+            step = attempt.receive(found, wallNow());
+            break;
+        }
+        default:
+            co_return step;
+        }
+    }
+}
+
+Asio::awaitable<void> ClaimStore::close(std::string name, ClaimClosing closing)
+{
+    ObjectStoreClient store(this->worker.client, this->worker.settings.store, this->worker.settings.storeTimeout);
+    const ClaimAction last = co_await closeUntilWait(store, name, closing);
+    if (last == ClaimAction::Wait) {
+        // Counted as a request, so that a planned stop waits until the claim is settled.
+        this->worker.status.requestStarted();
+        Asio::co_spawn(this->worker.context, closeInBackground(this->worker, std::move(name), std::move(closing)), Asio::detached);
+    }
+}
+
+} // namespace Godwitfork
--- a/Tests/LibLedger/TestJournal.cpp
+++ b/Tests/LibLedger/TestJournal.cpp
@@ -336,6 +336,9 @@
     JournalSettings settings;
     settings.flushInterval = std::chrono::milliseconds(20);
     settings.slowPeerPause = std::chrono::milliseconds(30);
+    // Small messages and windows split a first append of a term into several.
+    settings.messageLimitBytes = 600;
+    settings.windowBytes = 1500;
     std::size_t durable = 0;
     CHECK(rc::check("short interleavings", [&](std::uint64_t seed) {
         for (std::uint64_t run = 0; run < 40; ++run) {
@@ -362,10 +365,10 @@
     RandomSource random(4);
     const auto entry = [&random](std::uint64_t sequence) { return recordEntry(sequence, completedRecord(makeRequestId(admitted, random), 1)); };
     JournalReplicas replicas;
-    CHECK(replicas.receive(JournalAppend {"owner", 2, 0, 1, {entry(1)}}) == JournalAck {"owner", 2, 1, ReplicaRelease::Keep});
-    CHECK(replicas.receive(JournalAppend {"owner", 2, 2, 3, {entry(3)}}) == JournalAck {"owner", 2, 1, ReplicaRelease::Keep});
-    CHECK(replicas.receive(JournalAppend {"owner", 3, 2, 3, {entry(3)}}) == JournalAck {"owner", 3, 0, ReplicaRelease::Keep});
-    CHECK_FALSE(replicas.receive(JournalAppend {"owner", 1, 0, 5, {entry(5)}}));
+    CHECK(replicas.receive(JournalAppend {"owner", 2, 0, 1, {entry(1)}, true}) == JournalAck {"owner", 2, 1, ReplicaRelease::Keep});
+    CHECK(replicas.receive(JournalAppend {"owner", 2, 2, 3, {entry(3)}, true}) == JournalAck {"owner", 2, 1, ReplicaRelease::Keep});
+    CHECK(replicas.receive(JournalAppend {"owner", 3, 2, 3, {entry(3)}, true}) == JournalAck {"owner", 3, 0, ReplicaRelease::Keep});
+    CHECK_FALSE(replicas.receive(JournalAppend {"owner", 1, 0, 5, {entry(5)}, true}));
     CHECK(replicas.receive(JournalDrop {"owner", 1, 0, ReplicaRelease::Release}) == JournalAck {"owner", 1, 0, ReplicaRelease::Release});
     CHECK(replicas.settle("owner").size() == 1);
 }
--- a/Tests/LibLedger/TestRecords.cpp
+++ b/Tests/LibLedger/TestRecords.cpp
@@ -41,7 +41,7 @@
         const BillingRecord record = arbitraryRecord(random);
         RC_ASSERT(recordFromJson(toJson(record)).value() == record);
         RC_ASSERT(decodeBatch(encodeBatch({std::make_shared<const BillingRecord>(record)})).value() == std::vector {record});
-        const JournalAppend append {"i-1", 3, 4, 9, {openEntry(5, {record.requestId(), "a", "s"}), recordEntry(9, record)}};
+        const JournalAppend append {"i-1", 3, 4, 9, {openEntry(5, {record.requestId(), "a", "s"}), recordEntry(9, record)}, false};
         RC_ASSERT(decodeAppend(encodeAppend(append)).value() == append);
     }));
     const JournalAck ack {"i-1", 7, 8, ReplicaRelease::Release};
--- a/Tests/LibPeer/TestPeerMessage.cpp
+++ b/Tests/LibPeer/TestPeerMessage.cpp
@@ -26,9 +26,9 @@
             MemberList {{{"a1b2", "instance-1", "north", "127.0.0.1:7001"}}},
             ConfigurationRequest {7},
             ConfigurationReply {7, R"({"revision":7})"},
-            JournalAppend {"a1b2", 3, {{1, 2}, {}, {255}}},
-            JournalAck {"a1b2", 3},
-            JournalDrop {"a1b2", 2},
+            JournalAppendMessage {{1, 2, 255}},
+            JournalAckMessage {{3}},
+            JournalDropMessage {{}},
             EstimateDelta {{{9}}},
             Leaving {"a1b2"}};
 }
