--- a/Utilities/LoadTool/LoadRun.cpp
+++ b/Utilities/LoadTool/LoadRun.cpp
@@ -36,6 +36,8 @@
         return "timeout";
     case HttpFailure::ConnectionLost:
         return "connection_lost";
+    case HttpFailure::Withheld:
+        return "withheld";
     case HttpFailure::MalformedAnswer:
         break;
     }
@@ -135,7 +137,7 @@
         while (true) {
             const auto bytes = co_await response.readSome();
             if (!bytes) {
-                result.code = failureCode(bytes.error());
+                reader.breakOff(failureCode(bytes.error()));
                 co_return;
             }
             if (bytes.value().empty()) {
