--- a/Services/Router/JournalLinks.cpp
+++ b/Services/Router/JournalLinks.cpp
@@ -41,12 +41,8 @@
     transport.append = [&network](const std::string &keeper, const JournalAppend &message) {
         network.send(keeper, JournalAppendMessage {encodeAppend(message)});
     };
-    transport.drop = [&network](const std::string &keeper, const JournalDrop &message) {
-        network.send(keeper, JournalDropMessage {encodeDrop(message)});
-    };
-    transport.acknowledge = [&network](const std::string &owner, const JournalAck &message) {
-        network.send(owner, JournalAckMessage {encodeAck(message)});
-    };
+    transport.drop = [&network](const std::string &keeper, const JournalDrop &message) { network.send(keeper, JournalDropMessage {encodeDrop(message)}); };
+    transport.acknowledge = [&network](const std::string &owner, const JournalAck &message) { network.send(owner, JournalAckMessage {encodeAck(message)}); };
     ledger.setTransport(std::move(transport));
 }
 
