Add the administration API: apply, history, state changes, status

Cause: configurations could only be written straight into the store, without an operator's key, a check, a history, or protection against a lost race.

Ruled out: a history entry written after the new revision, because a process that ends between the two writes loses it; the revision that is replaced is archived before. Also ruled out: answering "failed" after a lost answer, and giving up on the first read-back, because a slow store may carry the write out later; the same conditional write is repeated and the token of the one revision that replaced the base tells whose it was.

Change: LibAdministration (conditional apply with token, changes that are based on the current revision after a lost race, operator keys compared in constant time, HTTP routes) and a listener of its own in the router, set up with `administration_listen` and `administration_key_hashes`. Files that would bring a withdrawn version back are refused unless that is asked for.

--- /dev/null
+++ b/Services/Router/AdministrationListener.cpp
@@ -0,0 +1,88 @@
+#include "AdministrationListener.h"
+
+#include <utility>
+
+namespace Godwitfork
+{
+
+namespace
+{
+HttpServerLimits administrationLimits()
+{
+    HttpServerLimits limits;
+    // A configuration holds at most 1 MB in the store; the request adds a little around it.
+    limits.maxBodyBytes = 2 * 1024 * 1024;
+    limits.maxConnections = 64;
+    return limits;
+}
+} // namespace
+
+AdministrationListener::AdministrationListener(const RouterSettings &settings, ControlPlane &control, const RouterStatus &status)
+    : settings(settings)
+    , control(control)
+    , status(status)
+    , api(this->makeContext())
+    , server(
+          control.executionContext(),
+          settings.administrationListen,
+          administrationLimits(),
+          [this](HttpExchange &exchange) { return this->api.handle(exchange); },
+          AdministrationApi::refuse)
+{
+}
+
+HttpAddress AdministrationListener::address() const
+{
+    return this->server.address();
+}
+
+void AdministrationListener::start()
+{
+    this->server.start();
+}
+
+void AdministrationListener::stop()
+{
+    this->server.stop();
+}
+
+void AdministrationListener::setSnapshot(SnapshotPointer newSnapshot)
+{
+    this->snapshot = std::move(newSnapshot);
+}
+
+AdministrationContext AdministrationListener::makeContext()
+{
+    AdministrationContext context;
+    context.objects = objectsOf(this->control.objectStore(), this->control.executionContext());
+    context.operatorKeyHashes = [this] { return this->operatorKeyHashes(); };
+    // FIXME: Add the other members' revisions once LibMembership gossips them; until then a client asks every instance.
+    context.instances = [this] { return std::vector<InstanceState> {this->ownState()}; };
+    context.now = wallNow;
+    return context;
+}
+
+std::vector<std::string> AdministrationListener::operatorKeyHashes() const
+{
+    // The settings' keys are valid always: the first configuration needs one, and a configuration may lose all of its own.
+    std::vector<std::string> hashes = this->settings.administrationKeyHashes;
+    if (this->snapshot) {
+        const std::vector<std::string> &configured = this->snapshot->site().operatorKeyHashes;
+        hashes.insert(hashes.end(), configured.begin(), configured.end());
+    }
+    return hashes;
+}
+
+InstanceState AdministrationListener::ownState() const
+{
+    InstanceState state;
+    state.instance = this->settings.instance;
+    state.incarnation = this->control.incarnation();
+    state.failureDomain = this->settings.failureDomain;
+    state.site = this->settings.site;
+    state.revision = this->snapshot ? this->snapshot->revision() : 0;
+    state.isReady = this->status.admits(monotonicNow());
+    return state;
+}
+
+} // namespace Godwitfork
--- a/Services/Router/Router.cpp
+++ b/Services/Router/Router.cpp
@@ -30,6 +30,9 @@
         // The kernel chooses the port for the first thread when the settings say 0; the others share it.
         listen = this->traffic.front()->address();
     }
+    if (!this->settings.administrationListen.host.empty()) {
+        this->administration = std::make_unique<AdministrationListener>(this->settings, this->control, this->status);
+    }
 }
 
 void Router::run()
@@ -39,14 +42,21 @@
         for (auto &thread : this->traffic) {
             thread->postSnapshot(snapshot);
         }
+        if (this->administration) {
+            this->administration->setSnapshot(snapshot);
+        }
     });
     for (auto &thread : this->traffic) {
         thread->start();
     }
     this->control.start();
+    if (this->administration) {
+        this->administration->start();
+    }
     logEvent(LogLevel::Info,
              "listening",
              {{"address", toText(this->traffic.front()->address())},
+              {"administration_address", this->administrationAddress()},
               {"incarnation", this->control.incarnation()},
               {"failure_domain", this->settings.failureDomain}});
     this->signals.async_wait([this](const boost::system::error_code &error, int) {
@@ -60,6 +70,11 @@
     }
 }
 
+std::string Router::administrationAddress() const
+{
+    return this->administration ? toText(this->administration->address()) : std::string();
+}
+
 Asio::awaitable<void> Router::sleep(Duration duration)
 {
     Asio::steady_timer timer(this->context, duration);
@@ -79,6 +94,9 @@
     while (this->status.activeRequests() > 0 && monotonicNow() < deadline) {
         co_await this->sleep(stopPollInterval);
     }
+    if (this->administration) {
+        this->administration->stop();
+    }
     const bool flushed = co_await this->control.ledger().flush(flushLimit);
     logEvent(LogLevel::Info, "stop.finished", {{"active_requests", this->status.activeRequests()}, {"ledger_flushed", flushed}});
     this->context.stop();
--- a/Services/Router/Router.h
+++ b/Services/Router/Router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdministrationListener.h"
 #include "ControlPlane.h"
 #include "Metrics.h"
 #include "RouterSettings.h"
@@ -24,6 +25,7 @@
     void run();
 
 private:
+    std::string administrationAddress() const;
     boost::asio::awaitable<void> stopGracefully();
     boost::asio::awaitable<void> sleep(Duration duration);
 
@@ -33,6 +35,7 @@
     boost::asio::io_context context {1};
     ControlPlane control;
     std::vector<std::unique_ptr<TrafficThread>> traffic;
+    std::unique_ptr<AdministrationListener> administration;
     boost::asio::signal_set signals;
 };
 
--- a/Services/Router/RouterSettings.cpp
+++ b/Services/Router/RouterSettings.cpp
@@ -19,6 +19,11 @@
     return address;
 }
 
+HttpAddress readOptionalAddress(SettingsReader &reader, const std::string &key)
+{
+    return reader.text(key, "").empty() ? HttpAddress() : readAddress(reader, key);
+}
+
 LogLevel readLogLevel(SettingsReader &reader)
 {
     const std::string name = reader.text("log_level", "info");
@@ -52,6 +57,15 @@
     return "info";
 }
 
+std::string joined(const std::vector<std::string> &texts)
+{
+    std::string joined;
+    for (const std::string &text : texts) {
+        joined += (joined.empty() ? "" : ", ") + text;
+    }
+    return joined;
+}
+
 long long toMilliseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -67,6 +81,8 @@
     settings.failureDomain = reader.requiredText("failure_domain");
     settings.listen = readAddress(reader, "listen");
     settings.store = readAddress(reader, "store");
+    settings.administrationListen = readOptionalAddress(reader, "administration_listen");
+    settings.administrationKeyHashes = reader.texts("administration_key_hashes");
     settings.trafficThreads = static_cast<int>(reader.integer("traffic_threads", 2, 1, 64));
     settings.logLevel = readLogLevel(reader);
     settings.storeTimeout = reader.milliseconds("store_timeout_ms", 2000, 10, 60000);
@@ -89,6 +105,8 @@
          << "failure_domain: " << settings.failureDomain << "\n"
          << "listen: " << toText(settings.listen) << "\n"
          << "store: " << toText(settings.store) << "\n"
+         << "administration_listen: " << (settings.administrationListen.host.empty() ? "" : toText(settings.administrationListen)) << "\n"
+         << "administration_key_hashes: [" << joined(settings.administrationKeyHashes) << "]\n"
          << "traffic_threads: " << settings.trafficThreads << "\n"
          << "log_level: " << logLevelName(settings.logLevel) << "\n"
          << "store_timeout_ms: " << toMilliseconds(settings.storeTimeout) << "\n"
--- a/Services/Router/RouterSettings.h
+++ b/Services/Router/RouterSettings.h
@@ -6,6 +6,7 @@
 #include "LibHttp/HttpMessage.h"
 
 #include <string>
+#include <vector>
 
 namespace Godwitfork
 {
@@ -17,6 +18,10 @@
     std::string failureDomain;
     HttpAddress listen;
     HttpAddress store;
+    /// Address of the administration API; no host means that this instance does not serve it.
+    HttpAddress administrationListen;
+    /// SHA-256 of operator keys that are valid whatever the configuration says.
+    std::vector<std::string> administrationKeyHashes;
     int trafficThreads = 2;
     LogLevel logLevel = LogLevel::Info;
     Duration storeTimeout = std::chrono::seconds(2);
--- /dev/null
+++ b/Tests/LibAdministration/TestAdministrationApi.cpp
@@ -0,0 +1,138 @@
+#include "FakeObjects.h"
+
+#include "LibAdministration/AdministrationApi.h"
+#include "LibConfiguration/Builders.h"
+#include "LibCore/Digest.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Godwitfork;
+
+namespace
+{
+const std::string token = "0123456789abcdef";
+
+/// Exchange that keeps the answer.
+class RecordedExchange : public HttpExchange
+{
+public:
+    explicit RecordedExchange(HttpRequest request) : received(std::move(request))
+    {
+    }
+    const HttpRequest &request() const override
+    {
+        return this->received;
+    }
+    boost::asio::awaitable<bool> respond(HttpResponse response) override
+    {
+        this->answer = std::move(response);
+        co_return true;
+    }
+    boost::asio::awaitable<bool> startStream(int, HttpHeaders) override
+    {
+        co_return false;
+    }
+    boost::asio::awaitable<bool> writeChunk(std::string) override
+    {
+        co_return false;
+    }
+    boost::asio::awaitable<bool> finishStream() override
+    {
+        co_return false;
+    }
+    void abort() override
+    {
+    }
+
+    HttpRequest received;
+    HttpResponse answer;
+};
+
+HttpResponse call(FakeObjects &store, const std::string &method, const std::string &target, const nlohmann::json &body, const std::string &key = "operator")
+{
+    AdministrationContext context;
+    context.objects = store.objects();
+    context.operatorKeyHashes = [] { return std::vector<std::string> {sha256Hex("other"), sha256Hex("operator")}; };
+    context.instances = [] { return std::vector<InstanceState> {{"i", "i-1", "d", "s", 3, true}}; };
+    context.now = [] { return WallTime(std::chrono::seconds(1)); };
+    AdministrationApi api(std::move(context));
+    RecordedExchange exchange(makeRequest(method, target, body.is_null() ? "" : body.dump(), {{"Authorization", "Bearer " + key}}));
+    auto work = [&]() -> boost::asio::awaitable<bool> {
+        co_await api.handle(exchange);
+        co_return true;
+    };
+    store.run<bool>(work());
+    return exchange.answer;
+}
+
+nlohmann::json configurationJson(VersionState state)
+{
+    Configuration configuration;
+    configuration.sites["s"] = SiteConfigurationBuilder()
+                                   .model({"m", {}, {{"1", VersionState::Stable, 1, 1}, {"2", state, 1, 1}}})
+                                   .account(ClientAccountBuilder("a").key("k").model("m").build())
+                                   .endpoint(EndpointBuilder("e", "10.0.0.1:80").failureDomain("d").servesVersion("m", "1").build())
+                                   .build();
+    return nlohmann::json::parse(toJson(configuration));
+}
+
+std::string codeOf(const HttpResponse &response)
+{
+    return nlohmann::json::parse(response.body).at("error").at("code").get<std::string>();
+}
+} // namespace
+
+// Guards against a caller's key, a digest in place of its key, or an empty key that opens the administration API.
+TEST_CASE("Only an operator key opens the API")
+{
+    FakeObjects store;
+    for (const std::string &key : {std::string("k"), sha256Hex("operator"), std::string(), std::string("operator ")}) {
+        CHECK(call(store, "GET", "/v1/status", nullptr, key).status == 401);
+    }
+    CHECK(call(store, "GET", "/v1/status", nullptr).status == 200);
+}
+
+// Guards against a stored configuration that the files' check would refuse, and against changes that state no revision.
+TEST_CASE("Bad requests are refused with their own codes and store nothing")
+{
+    FakeObjects store;
+    const nlohmann::json good = configurationJson(VersionState::Stable);
+    CHECK(codeOf(call(store, "POST", "/v1/configuration", {{"token", token}, {"configuration", good}})) == "invalid_request");
+    CHECK(codeOf(call(store, "POST", "/v1/configuration", {{"token", "short"}, {"based_on", 0}, {"configuration", good}})) == "invalid_request");
+    CHECK(codeOf(call(store, "POST", "/v1/configuration", {{"token", token}, {"based_on", 0}, {"extra", 1}, {"configuration", good}})) == "invalid_request");
+    nlohmann::json bad = good;
+    bad["sites"]["s"]["accounts"]["a"]["models"][0]["model"] = "unknown";
+    const HttpResponse refused = call(store, "POST", "/v1/configuration", {{"token", token}, {"based_on", 0}, {"configuration", bad}});
+    CHECK(refused.status == 422);
+    CHECK_THAT(refused.body, Catch::Contains("unknown model 'unknown'"));
+    bad = {{"sites", nlohmann::json::object()}};
+    CHECK(codeOf(call(store, "POST", "/v1/configuration", {{"token", token}, {"based_on", 0}, {"configuration", bad}})) == "invalid_configuration");
+    CHECK(codeOf(call(store, "POST", "/v1/endpoints", {{"token", token}, {"endpoint", "e"}, {"state", "off"}})) == "invalid_request");
+    CHECK(store.writesTo("configuration/current") == 0);
+}
+
+// Guards against files that are older than a withdrawal bringing the bad version back, and against a withdrawal that
+// leaves a model without a version unless that is asked for.
+TEST_CASE("A withdrawn version returns only if that is asked for")
+{
+    FakeObjects store;
+    const nlohmann::json original = configurationJson(VersionState::Stable);
+    REQUIRE(call(store, "POST", "/v1/configuration", {{"token", token + "1"}, {"based_on", 0}, {"configuration", original}}).status == 200);
+    nlohmann::json withdrawal = {{"token", token + "2"}, {"model", "m"}, {"version", "2"}, {"state", "withdrawn"}};
+    const HttpResponse withdrawn = call(store, "POST", "/v1/versions", withdrawal);
+    REQUIRE(withdrawn.status == 200);
+    const auto revision = nlohmann::json::parse(withdrawn.body).at("revision");
+    nlohmann::json again = {{"token", token + "3"}, {"based_on", revision}, {"configuration", original}};
+    CHECK(codeOf(call(store, "POST", "/v1/configuration", again)) == "version_withdrawn");
+    withdrawal["token"] = token + "4";
+    withdrawal["version"] = "1";
+    CHECK(call(store, "POST", "/v1/versions", withdrawal).status == 409);
+    again["reinstate"] = true;
+    CHECK(call(store, "POST", "/v1/configuration", again).status == 200);
+    const HttpResponse drained = call(store, "POST", "/v1/endpoints", {{"token", token + "5"}, {"endpoint", "e"}, {"state", "draining"}});
+    REQUIRE(drained.status == 200);
+    const HttpResponse rendered = call(store, "GET", "/v1/configuration/sites/s", nullptr);
+    CHECK_THAT(rendered.body, Catch::Contains("state: draining"));
+    CHECK(nlohmann::json::parse(call(store, "GET", "/v1/configuration/history", nullptr).body).at("revisions").size() == 4);
+}
