Add godwitforkctl

Cause: operators need the check, the diff and the administration API from a shell, with exit codes that scripts can rely on.

Ruled out: taking the current revision silently as the base of `apply`, because files that are older than another operator's change would overwrite it; the base must be named. Also ruled out: the key on the command line, where other users of the machine see it.

--- /dev/null
+++ b/Utilities/Control/ServerCommands.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "Options.h"
+
+namespace Godwitfork
+{
+
+int runApply(const Options &options);
+int runHistory(const Options &options);
+int runStatus(const Options &options);
+/// `withdraw MODEL:VERSION`, and `set-state MODEL:VERSION STATE`.
+int runSetState(const Options &options);
+/// `drain ENDPOINT` and `undrain ENDPOINT`.
+int runDrain(const Options &options);
+
+} // namespace Godwitfork
