--- a/Libraries/LibAdministration/AdministrationApi.cpp
+++ b/Libraries/LibAdministration/AdministrationApi.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace Godwitfork
@@ -139,6 +140,12 @@
     if (path == "/v1/status") {
         co_return co_await this->status();
     }
+    if (path == "/v1/bill") {
+        co_return co_await this->bill(request);
+    }
+    if (path == "/v1/spend") {
+        co_return co_await this->spend();
+    }
     if (path == "/v1/configuration/history") {
         co_return co_await this->history(request);
     }
@@ -274,6 +281,46 @@
     co_return jsonResponse(statusOk, body.dump());
 }
 
+Asio::awaitable<HttpResponse> AdministrationApi::bill(const HttpRequest &request)
+{
+    const auto month = parseMonth(queryValue(request.target, "month"));
+    if (!month) {
+        co_return administrationError(statusBadRequest, "invalid_request", "'month' must be YYYY-MM");
+    }
+    const auto ledger = co_await readLedger(this->context.objects, *month);
+    if (!ledger) {
+        co_return storeErrorResponse(ledger.error());
+    }
+    nlohmann::json body;
+    body["bills"] = nlohmann::json::array();
+    for (const std::string &account : ledger.value().accounts) {
+        body["bills"].push_back(billJson(ledger.value().records.bill(account, *month)));
+    }
+    co_return jsonResponse(statusOk, body.dump());
+}
+
+Asio::awaitable<HttpResponse> AdministrationApi::spend()
+{
+    constexpr std::chrono::days forecastWindow {28};
+    const WallTime now = this->context.now();
+    const auto current = co_await readCurrent(this->context.objects);
+    if (!current) {
+        co_return storeErrorResponse(current.error());
+    }
+    const BillingPeriod month = monthOf(now);
+    const BillingPeriod window {std::min<WallTime>(month.from, now - forecastWindow - std::chrono::days(1)), month.until};
+    const auto ledger = co_await readLedger(this->context.objects, window);
+    if (!ledger) {
+        co_return storeErrorResponse(ledger.error());
+    }
+    nlohmann::json body;
+    body["accounts"] = nlohmann::json::array();
+    for (const auto &[account, budget] : monthlyBudgets(current.value().configuration)) {
+        body["accounts"].push_back(spendJson(spendOf(ledger.value().records, account, budget, now)));
+    }
+    co_return jsonResponse(statusOk, body.dump());
+}
+
 ApplyNote AdministrationApi::makeNote(std::string token, std::string comment, ObjectVersion basedOn, const std::string &operatorId) const
 {
     ApplyNote note;
--- a/Libraries/LibAdministration/AdministrationApi.h
+++ b/Libraries/LibAdministration/AdministrationApi.h
@@ -44,6 +44,8 @@
     boost::asio::awaitable<HttpResponse> revision(const std::string &text);
     boost::asio::awaitable<HttpResponse> renderedSite(const HttpRequest &request, const std::string &site);
     boost::asio::awaitable<HttpResponse> status();
+    boost::asio::awaitable<HttpResponse> bill(const HttpRequest &request);
+    boost::asio::awaitable<HttpResponse> spend();
     ApplyNote makeNote(std::string token, std::string comment, ObjectVersion basedOn, const std::string &operatorId) const;
 
     AdministrationContext context;
--- a/Libraries/LibAdministration/AdministrationMessages.cpp
+++ b/Libraries/LibAdministration/AdministrationMessages.cpp
@@ -206,6 +206,23 @@
     return json;
 }
 
+nlohmann::json billJson(const Bill &bill)
+{
+    nlohmann::json json = {{"account", bill.account}, {"requests", bill.requests}, {"amount", bill.amount}, {"house_cost", bill.houseCost}};
+    for (std::size_t i = 0; i < bill.requestsByOutcome.size(); ++i) {
+        json["outcomes"][std::string(outcomeName(static_cast<RequestOutcome>(i)))] = bill.requestsByOutcome.at(i);
+    }
+    return json;
+}
+
+nlohmann::json spendJson(const AccountSpend &spend)
+{
+    return {{"account", spend.account},
+            {"spent", spend.spent},
+            {"monthly_budget", spend.monthlyBudget},
+            {"forecast", {{"expected", spend.forecast.expected}, {"low", spend.forecast.low}, {"high", spend.forecast.high}}}};
+}
+
 nlohmann::json instancesJson(const std::vector<InstanceState> &instances)
 {
     nlohmann::json list = nlohmann::json::array();
--- a/Libraries/LibAdministration/AdministrationMessages.h
+++ b/Libraries/LibAdministration/AdministrationMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibAdministration/Changes.h"
+#include "LibAdministration/LedgerReport.h"
 #include "LibHttp/HttpMessage.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -58,6 +59,8 @@
 /// Where a revision comes from, without the configuration itself.
 nlohmann::json summaryJson(const ConfigurationRecord &record);
 nlohmann::json recordJson(const ConfigurationRecord &record);
+nlohmann::json billJson(const Bill &bill);
+nlohmann::json spendJson(const AccountSpend &spend);
 nlohmann::json instancesJson(const std::vector<InstanceState> &instances);
 
 } // namespace Godwitfork
--- a/Tests/LibAdministration/TestAdministrationApi.cpp
+++ b/Tests/LibAdministration/TestAdministrationApi.cpp
@@ -3,6 +3,8 @@
 #include "LibAdministration/AdministrationApi.h"
 #include "LibConfiguration/Builders.h"
 #include "LibCore/Digest.h"
+#include "LibCore/Identifier.h"
+#include "LibLedger/RecordCodec.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -136,3 +138,44 @@
     CHECK_THAT(rendered.body, Catch::Contains("state: draining"));
     CHECK(nlohmann::json::parse(call(store, "GET", "/v1/configuration/history", nullptr).body).at("revisions").size() == 4);
 }
+
+// Guards against a bill that counts a record twice, leaves out an hour bucket or another month's end, or is too low
+// because a batch cannot be read.
+TEST_CASE("Spend and bill count each stored record of the month once")
+{
+    FakeObjects store;
+    REQUIRE(call(store, "POST", "/v1/configuration", {{"token", token}, {"based_on", 0}, {"configuration", configurationJson(VersionState::Stable)}}).status
+            == 200);
+    RandomSource random(20261204);
+    const auto batchOf = [&](std::int64_t second, Microunits amount) {
+        const WallTime admitted {std::chrono::seconds(second)};
+        const auto record = BillingRecordBuilder()
+                                .requestId(makeRequestId(admitted, random))
+                                .account("a")
+                                .site("s")
+                                .outcome(RequestOutcome::Completed)
+                                .amount(amount)
+                                .admitted(admitted)
+                                .build()
+                                .value();
+        return encodeBatch({std::make_shared<const BillingRecord>(record)});
+    };
+    constexpr std::int64_t monthStart = 1764547200; // 2025-12-01T00:00:00Z, hour 490152.
+    constexpr std::int64_t monthEnd = monthStart + 31 * 86400;
+    const std::string first = batchOf(monthStart, 1);
+    store.putDirectly("ledger/490152/x-1", first);
+    store.putDirectly("ledger/490152/keeper-1", first);
+    store.putDirectly("ledger/490895/x-2", batchOf(monthEnd - 1, 10));
+    store.putDirectly("ledger/490896/x-3", batchOf(monthEnd, 100));
+    store.putDirectly("ledger/490151/x-4", batchOf(monthStart - 1, 1000));
+    const auto december = nlohmann::json::parse(call(store, "GET", "/v1/bill?month=2025-12", nullptr).body).at("bills");
+    REQUIRE(december.size() == 1);
+    CHECK(december[0].at("amount") == 11);
+    CHECK(december[0].at("requests") == 2);
+    CHECK(call(store, "GET", "/v1/bill?month=2025-13", nullptr).status == 400);
+    const auto spend = nlohmann::json::parse(call(store, "GET", "/v1/spend", nullptr).body).at("accounts");
+    REQUIRE(spend.size() == 1);
+    CHECK(spend[0].at("spent") == 0);
+    store.putDirectly("ledger/490200/broken", "{\"records\": 3}");
+    CHECK(call(store, "GET", "/v1/bill?month=2025-12", nullptr).status == 503);
+}
--- a/Utilities/Control/FileCommands.cpp
+++ b/Utilities/Control/FileCommands.cpp
@@ -34,7 +34,8 @@
     // The folder's order differs between machines, and the findings' order should not.
     std::sort(names.begin(), names.end());
     for (const std::string &name : names) {
-        files.overlays.push_back({folder + "/" + name, readFile(folder + "/" + name)});
+        const std::string path = (boost::filesystem::path(folder) / name).string();
+        files.overlays.push_back({path, readFile(path)});
     }
     return check(files);
 }
--- a/Utilities/Control/ServerCommands.cpp
+++ b/Utilities/Control/ServerCommands.cpp
@@ -91,6 +91,37 @@
     std::cerr << (changes.empty() ? "no differences\n" : toText(changes));
 }
 
+/// Reads a report and prints it as JSON or with `print`. Returns the exit code.
+int printReport(const Options &options, const std::string &target, void (*print)(const nlohmann::json &body))
+{
+    const ApiClient client(options);
+    const auto answer = client.read(target);
+    if (!answer) {
+        return refuseUnreachable();
+    }
+    if (answer->status != statusOk) {
+        return reportError(*answer);
+    }
+    const auto body = nlohmann::json::parse(answer->body);
+    if (options.output == OutputForm::Json) {
+        std::cout << body.dump(2) << "\n";
+    } else {
+        print(body);
+    }
+    return exitOk;
+}
+
+/// Amount in units of the currency with all six decimals.
+std::string units(const nlohmann::json &amount)
+{
+    constexpr Microunits microunitsInUnit = 1'000'000;
+    const auto value = amount.get<Microunits>();
+    std::string decimals = std::to_string(value % microunitsInUnit);
+    constexpr std::size_t decimalDigits = 6;
+    decimals.insert(0, decimalDigits - decimals.size(), '0');
+    return std::to_string(value / microunitsInUnit) + "." + decimals;
+}
+
 std::string timeText(std::int64_t microseconds)
 {
     const std::time_t seconds = microseconds / microsecondsInSecond;
@@ -155,6 +186,27 @@
     return exitOk;
 }
 
+int runSpend(const Options &options)
+{
+    return printReport(options, "/v1/spend", [](const nlohmann::json &body) {
+        for (const nlohmann::json &account : body.at("accounts")) {
+            const nlohmann::json &forecast = account.at("forecast");
+            std::cout << account.at("account").get<std::string>() << ": spent " << units(account.at("spent")) << " of " << units(account.at("monthly_budget"))
+                      << ", forecast " << units(forecast.at("expected")) << " (" << units(forecast.at("low")) << " to " << units(forecast.at("high")) << ")\n";
+        }
+    });
+}
+
+int runBill(const Options &options)
+{
+    return printReport(options, "/v1/bill?month=" + percentEncode(options.arguments.at(0)), [](const nlohmann::json &body) {
+        for (const nlohmann::json &bill : body.at("bills")) {
+            std::cout << bill.at("account").get<std::string>() << ": " << bill.at("requests").dump() << " requests, " << units(bill.at("amount"))
+                      << ", house cost " << units(bill.at("house_cost")) << "\n";
+        }
+    });
+}
+
 int runStatus(const Options &options)
 {
     const ApiClient client(options);
--- a/Utilities/Control/main.cpp
+++ b/Utilities/Control/main.cpp
@@ -28,6 +28,8 @@
     {"apply", 1, true, runApply, "apply FOLDER --based-on REVISION"},
     {"history", 0, true, runHistory, "history"},
     {"status", 0, true, runStatus, "status"},
+    {"spend", 0, true, runSpend, "spend"},
+    {"bill", 1, true, runBill, "bill YYYY-MM"},
     {"withdraw", 1, true, runSetState, "withdraw MODEL:VERSION"},
     {"set-state", 2, true, runSetState, "set-state MODEL:VERSION candidate|stable|withdrawn"},
     {"drain", 1, true, runDrain, "drain ENDPOINT"},
