--- a/Libraries/LibPeer/PeerMessage.cpp
+++ b/Libraries/LibPeer/PeerMessage.cpp
@@ -202,21 +202,21 @@
 }
 
 template<typename Access, typename T>
-bool visitFields(Access &access, T &message) requires std::same_as<std::remove_const_t<T>, JournalAppend>
+bool visitFields(Access &access, T &message) requires std::same_as<std::remove_const_t<T>, JournalAppendBytes>
 {
-    return access.field(message.owner) && access.field(message.sequence) && access.field(message.entries);
+    return access.field(message.bytes);
 }
 
 template<typename Access, typename T>
-bool visitFields(Access &access, T &message) requires std::same_as<std::remove_const_t<T>, JournalAck>
+bool visitFields(Access &access, T &message) requires std::same_as<std::remove_const_t<T>, JournalAckBytes>
 {
-    return access.field(message.owner) && access.field(message.sequence);
+    return access.field(message.bytes);
 }
 
 template<typename Access, typename T>
-bool visitFields(Access &access, T &message) requires std::same_as<std::remove_const_t<T>, JournalDrop>
+bool visitFields(Access &access, T &message) requires std::same_as<std::remove_const_t<T>, JournalDropBytes>
 {
-    return access.field(message.owner) && access.field(message.throughSequence);
+    return access.field(message.bytes);
 }
 
 template<typename Access, typename T>
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -72,26 +72,23 @@
     auto operator<=>(const ConfigurationReply &) const = default;
 };
 
-struct JournalAppend {
-    std::string owner;
-    std::uint64_t sequence = 0;
-    std::vector<OpaqueBytes> entries;
+/// Journal messages in the encoding of LibLedger, whose structs have the plain names.
+struct JournalAppendBytes {
+    OpaqueBytes bytes;
 
-    auto operator<=>(const JournalAppend &) const = default;
+    auto operator<=>(const JournalAppendBytes &) const = default;
 };
 
-struct JournalAck {
-    std::string owner;
-    std::uint64_t sequence = 0;
+struct JournalAckBytes {
+    OpaqueBytes bytes;
 
-    auto operator<=>(const JournalAck &) const = default;
+    auto operator<=>(const JournalAckBytes &) const = default;
 };
 
-struct JournalDrop {
-    std::string owner;
-    std::uint64_t throughSequence = 0;
+struct JournalDropBytes {
+    OpaqueBytes bytes;
 
-    auto operator<=>(const JournalDrop &) const = default;
+    auto operator<=>(const JournalDropBytes &) const = default;
 };
 
 struct EstimateDelta {
@@ -106,7 +103,8 @@
     auto operator<=>(const Leaving &) const = default;
 };
 
-using PeerMessage = std::variant<Gossip, MemberList, ConfigurationRequest, ConfigurationReply, JournalAppend, JournalAck, JournalDrop, EstimateDelta, Leaving>;
+using PeerMessage =
+    std::variant<Gossip, MemberList, ConfigurationRequest, ConfigurationReply, JournalAppendBytes, JournalAckBytes, JournalDropBytes, EstimateDelta, Leaving>;
 
 /// CBOR of `{"type", "version", "body": [fields in the order of the struct]}`. An array instead of named fields keeps a
 /// gossip message for 330 members near 400 bytes.
--- a/Tests/LibPeer/TestPeerMessage.cpp
+++ b/Tests/LibPeer/TestPeerMessage.cpp
@@ -27,10 +27,10 @@
             MemberList {{{"a1b2", "instance-1", "north", "127.0.0.1:7001"}}},
             ConfigurationRequest {7},
             ConfigurationReply {7, R"({"revision":7})"},
-            JournalAppend {"a1b2", 3, {{1, 2}, {}, {255}}},
-            JournalAck {"a1b2", 3},
-            JournalDrop {"a1b2", 2},
-            EstimateDelta {{{9}}},
+            JournalAppendBytes {{1, 2, 255}},
+            JournalAckBytes {{}},
+            JournalDropBytes {{0}},
+            EstimateDelta {{{9}, {}, {1, 2}}},
             Leaving {"a1b2"}};
 }
 
