Count the store's heartbeats instead of trusting their arrival

Cause: the configuration lease was extended to the arrival of each piece of a watch's answer. The stand-in wrote a heartbeat into every watch whenever any watch was due, so that several instances received several a second.

Ruled out: time stamps in heartbeats, because clock times of two processes are not compared.

Change: the client reports each heartbeat byte and no piece of the answer; the control plane extends the lease to the time of the watch's request plus 0.98 s for each heartbeat after the first; the stand-in writes heartbeats when they are due.

--- a/Libraries/LibObjectStore/ObjectStoreClient.cpp
+++ b/Libraries/LibObjectStore/ObjectStoreClient.cpp
@@ -11,6 +11,7 @@
 {
 /// A watch answers with a heartbeat each second; three missing ones count as a lost connection.
 constexpr Duration heartbeatLimit = std::chrono::seconds(3);
+constexpr char heartbeatByte = '\n';
 
 StoreError toStoreError(const HttpClientError &error)
 {
@@ -173,6 +174,7 @@
         co_return toStoreError(stream.error());
     }
     std::string body;
+    bool onlyHeartbeats = true;
     while (true) {
         auto bytes = co_await stream.value()->readSome();
         if (!bytes) {
@@ -182,7 +184,13 @@
             break;
         }
         body += bytes.value();
-        onHeartbeat();
+        // Callers count heartbeats, so pieces of the answer itself must not look like some, and joined ones count each.
+        for (const char byte : bytes.value()) {
+            onlyHeartbeats = onlyHeartbeats && byte == heartbeatByte;
+            if (onlyHeartbeats) {
+                onHeartbeat();
+            }
+        }
     }
     if (stream.value()->status() != 200) {
         co_return toStoreError(HttpResponse {stream.value()->status(), {}, body});
--- a/Libraries/LibObjectStore/ObjectStoreClient.h
+++ b/Libraries/LibObjectStore/ObjectStoreClient.h
@@ -71,7 +71,8 @@
     /// All objects whose names start with `prefix`, in name order; reads further pages as needed.
     boost::asio::awaitable<StoreOutcome<std::vector<StoredObject>>> list(std::string prefix);
     /// Waits up to `wait` for an object with the prefix to pass `after`. Returns the changed objects; an empty value
-    /// means that the object was removed. `onHeartbeat` runs each time the store shows that it is alive.
+    /// means that the object was removed. `onHeartbeat` runs for each heartbeat: the first is written when the
+    /// watch starts, each further one at least a second after the one before.
     boost::asio::awaitable<StoreOutcome<std::vector<StoredObject>>>
     watch(std::string prefix, ObjectVersion after, Duration wait, std::function<void()> onHeartbeat);
 
--- a/Services/ObjectStoreStandIn/StoreApi.cpp
+++ b/Services/ObjectStoreStandIn/StoreApi.cpp
@@ -162,10 +162,15 @@
     headers.push_back({"Content-Type", "application/json"});
     bool connected = co_await exchange.startStream(200, headers);
     nlohmann::json events = this->table.changesAfter(prefix, after);
+    MonotonicTime nextHeartbeat = monotonicNow();
     while (connected && events.empty() && monotonicNow() < deadline) {
-        // White space before the JSON text shows the waiting side that the store is alive.
-        connected = co_await exchange.writeChunk("\n");
-        Asio::steady_timer heartbeat(this->context, heartbeatInterval);
+        // White space before the JSON text shows the waiting side that the store is alive. Watchers count it, and other
+        // watches and writes wake this one too, so it is written only when it is due.
+        if (monotonicNow() >= nextHeartbeat) {
+            connected = co_await exchange.writeChunk("\n");
+            nextHeartbeat += heartbeatInterval;
+        }
+        Asio::steady_timer heartbeat(this->context, nextHeartbeat);
         heartbeat.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
                 this->changed.cancel();
--- a/Services/Router/ControlPlane.cpp
+++ b/Services/Router/ControlPlane.cpp
@@ -17,6 +17,8 @@
 {
 const std::string configurationObject = "configuration/current";
 constexpr Duration watchTime = std::chrono::seconds(30);
+/// Interval of the store's heartbeats, less 2 % for a difference in rate between the two clocks.
+constexpr Duration heartbeatPeriod = std::chrono::milliseconds(980);
 constexpr Duration retryDelay = std::chrono::milliseconds(250);
 constexpr int incarnationRandomBytes = 4;
 
@@ -82,8 +84,12 @@
         bool reachable = co_await this->readConfiguration();
         while (reachable) {
             const MonotonicTime asked = monotonicNow();
-            // A heartbeat is sent after the store compared the version, so it confirms the revision as of its arrival.
-            const auto changes = co_await this->store.watch(configurationObject, this->revision, watchTime, [this] { this->confirm(monotonicNow()); });
+            // A frozen connection may deliver heartbeats late, so the lease counts from the time that their number proves.
+            int heartbeats = 0;
+            const auto changes = co_await this->store.watch(configurationObject, this->revision, watchTime, [this, asked, &heartbeats] {
+                this->confirm(asked + heartbeatPeriod * heartbeats);
+                ++heartbeats;
+            });
             reachable = changes.has_value();
             if (!reachable) {
                 logEvent(LogLevel::Warning, "store.watch_failed", {{"reason", changes.error().message}});
