Route, retry and admit requests in the router's traffic threads

Cause: the thin path picked endpoints at random, repeated failed attempts without a budget and admitted every request.

Ruled out: one table shared by the traffic threads, which needs a lock on the request path. Waiting for the ledger before a refusal with `ran: no`; a slow store then delays the refusal past 50 ms, and such a request costs nothing. Reading the load from the control thread; its reports would have to be posted to each thread.

Change: each traffic thread has an endpoint table, retry budgets by account, rate limits and a gate for each pool. Endpoints are asked for load and draining status each second, and the platform's list (`standin-instances`) for leaving ones. Settings `routing_policy`, `long_job_share_percent`, `long_job_tokens`, `admission_control`, `load_poll_ms` and `instance_list`. The engine stand-in reports load with a lag and honours priorities, and can be slowed, drained and exhausted. The concurrency limit starts at 64 and ignores first bytes below 25 ms times 4, which scheduling noise reaches; its test uses 30 ms and 121 ms instead of 10 ms and 100 ms and checks the same ratio of 4 more tightly.

Result: TestIntegration passes 10 test cases, 5 of them new: killed endpoint 1.4 s, frozen endpoint 4.4 s, draining, leaving by the list, overload refused within 50 ms.

--- a/Libraries/LibAdmission/ConcurrencyLimit.cpp
+++ b/Libraries/LibAdmission/ConcurrencyLimit.cpp
@@ -16,7 +16,7 @@
 /// A batch of four prefills is usual work for an engine; a longer wait for the first byte means a queue.
 constexpr int queuedRatio = 4;
 /// Below this, the ratio measures scheduling noise.
-constexpr Duration firstByteFloor = std::chrono::milliseconds(5);
+constexpr Duration firstByteFloor = std::chrono::milliseconds(25);
 
 void decrease(ConcurrencyLimit &limit, MonotonicTime now)
 {
--- a/Libraries/LibAdmission/ConcurrencyLimit.h
+++ b/Libraries/LibAdmission/ConcurrencyLimit.h
@@ -8,7 +8,7 @@
 /// Adaptive limit of the requests that one traffic thread has outstanding at a pool. It grows while the pool answers
 /// promptly and shrinks when endpoints report exhaustion or the time to the first byte shows that requests queue.
 struct ConcurrencyLimit {
-    double limit = 16;
+    double limit = 64;
     int running = 0;
     /// Lowest time to the first byte of the last 30 s; zero before the first sample.
     Duration lowestFirstByte {};
--- a/Libraries/LibRouting/EndpointChoice.cpp
+++ b/Libraries/LibRouting/EndpointChoice.cpp
@@ -148,7 +148,8 @@
 
 JobLength jobLength(const RoutingSettings &settings, double expectedTokens)
 {
-    return expectedTokens >= settings.longJobTokens ? JobLength::Long : JobLength::Short;
+    // The baselines do not know job lengths.
+    return settings.policy == RoutingPolicy::PowerOfTwo && expectedTokens >= settings.longJobTokens ? JobLength::Long : JobLength::Short;
 }
 
 bool takesLongJobs(const EndpointTable &table, const RoutingSettings &settings, EndpointIndex index)
--- a/Services/EngineStandIn/EngineApi.cpp
+++ b/Services/EngineStandIn/EngineApi.cpp
@@ -96,6 +96,7 @@
     parsed.prompt = promptOf(body);
     parsed.promptTokens = countWords(parsed.prompt);
     const int chosen = minDefaultTokens + static_cast<int>(hash64(parsed.prompt) % defaultTokenSpread);
+    parsed.priority = body.value("priority", 0);
     parsed.maxTokens = std::max(2, body.value("max_tokens", chosen));
     return parsed;
 }
@@ -125,10 +126,38 @@
     co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
 }
 
-Duration EngineApi::tokenTime() const
+Duration EngineApi::tokenTime(const EngineRequest &request) const
 {
-    const double crowding = std::max(1.0, static_cast<double>(this->running) / this->profile.slots);
-    return Duration(static_cast<Duration::rep>(static_cast<double>(this->profile.perToken.count()) * crowding));
+    const bool yields = request.priority > 0 || this->profile.priorities == EnginePriorities::Ignored;
+    const int sharing = yields ? this->running : this->running - this->runningLow;
+    const double crowding = std::max(1.0, static_cast<double>(sharing) / this->profile.slots);
+    return Duration(static_cast<Duration::rep>(static_cast<double>(this->profile.perToken.count()) * crowding * this->profile.slowdown));
+}
+
+bool EngineApi::isExhausted() const
+{
+    return this->profile.maxRunning > 0 && this->running >= this->profile.maxRunning;
+}
+
+void EngineApi::changeRunning(int change, int priority)
+{
+    this->running += change;
+    this->runningLow += priority > 0 ? change : 0;
+    recordLoad(this->history, this->running, monotonicNow());
+}
+
+HttpResponse EngineApi::control(const std::string &body)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return standInRefusal(400, "invalid_json", "the body must be a JSON object");
+    }
+    this->profile.slowdown = json.value("slowdown", this->profile.slowdown);
+    this->profile.draining = json.value("draining", this->profile.draining);
+    this->profile.maxRunning = json.value("max_running", this->profile.maxRunning);
+    const auto lag = std::chrono::duration_cast<std::chrono::milliseconds>(this->profile.loadLag).count();
+    this->profile.loadLag = std::chrono::milliseconds(json.value("load_lag_ms", lag));
+    return jsonResponse(200, "{}");
 }
 
 Asio::awaitable<void> EngineApi::handle(HttpExchange &exchange)
@@ -136,6 +165,8 @@
     const std::string path = targetPath(exchange.request().target);
     if (path == "/v1/chat/completions" && exchange.request().method == "POST") {
         co_await this->handleChat(exchange);
+    } else if (path == "/control" && exchange.request().method == "POST") {
+        co_await exchange.respond(this->control(exchange.request().body));
     } else if (path == "/executions") {
         co_await exchange.respond(this->executionsResponse());
     } else if (path == "/load") {
@@ -157,9 +188,14 @@
         co_await exchange.respond(standInRefusal(404, "model_not_loaded", "this engine does not serve '" + request.model + "'"));
         co_return;
     }
-    ++this->running;
+    if (this->isExhausted()) {
+        co_await exchange.respond(standInRefusal(429, "exhausted", "all places are taken; the request was not started"));
+        co_return;
+    }
+    const int priority = request.priority;
+    this->changeRunning(1, priority);
     co_await this->generate(exchange, std::move(request));
-    --this->running;
+    this->changeRunning(-1, priority);
 }
 
 Asio::awaitable<void> EngineApi::generate(HttpExchange &exchange, EngineRequest request)
@@ -176,7 +212,7 @@
     headers.push_back({"Content-Type", "text/event-stream"});
     headers.push_back({"X-Request-Id", request.requestId});
     bool connected = co_await exchange.startStream(200, headers);
-    Duration wait = this->profile.firstToken;
+    Duration wait = Duration(static_cast<Duration::rep>(static_cast<double>(this->profile.firstToken.count()) * this->profile.slowdown));
     for (int index = 0; connected && index < request.maxTokens; ++index) {
         while (connected && wait > heartbeatInterval) {
             co_await this->sleep(heartbeatInterval);
@@ -190,7 +226,7 @@
             connected = co_await exchange.writeChunk(tokenEvent(request, index, request.maxTokens));
             this->executions[slot].completionTokens = index + 1;
         }
-        wait = this->tokenTime();
+        wait = this->tokenTime(request);
     }
     if (connected) {
         const double confidence = confidenceOf(this->profile.skill, difficultyOf(request.prompt));
@@ -218,7 +254,10 @@
 
 HttpResponse EngineApi::loadResponse() const
 {
-    return jsonResponse(200, nlohmann::json {{"running", this->running}, {"slots", this->profile.slots}}.dump());
+    const int running = loadBefore(this->history, this->profile.loadLag, monotonicNow());
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(this->profile.loadLag).count();
+    const nlohmann::json load {{"running", running}, {"slots", this->profile.slots}, {"age_ms", age}, {"draining", this->profile.draining}};
+    return jsonResponse(200, load.dump());
 }
 
 } // namespace Godwitfork
--- a/Services/EngineStandIn/EngineApi.h
+++ b/Services/EngineStandIn/EngineApi.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibHttp/HttpServer.h"
+#include "LoadHistory.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,6 +13,9 @@
 namespace Godwitfork
 {
 
+/// With `Honoured`, requests of low priority do not slow the others down.
+enum class EnginePriorities { Honoured, Ignored };
+
 /// How the stand-in behaves. Times are for one request alone; with more than `slots` running requests each token takes
 /// proportionally longer, as with continuous batching.
 struct EngineProfile {
@@ -22,6 +26,15 @@
     int slots = 64;
     /// Share of prompts, by difficulty, that this engine answers well.
     double skill = 1;
+    /// Requests above this number are refused with status 429; 0 means no limit.
+    int maxRunning = 0;
+    /// Age of the load that reports state.
+    Duration loadLag {};
+    /// Factor on all times, for tests of stragglers.
+    double slowdown = 1;
+    /// Reported at once. A draining engine still takes requests, so that tests see who sends them.
+    bool draining = false;
+    EnginePriorities priorities = EnginePriorities::Honoured;
 };
 
 enum class ExecutionState { Running, Finished, Cancelled };
@@ -43,9 +56,12 @@
     std::string prompt;
     int promptTokens = 0;
     int maxTokens = 0;
+    /// Greater waits longer.
+    int priority = 0;
 };
 
-/// HTTP face of the model engine stand-in: chat completions as server-sent events, `GET /executions`, `GET /load`.
+/// HTTP face of the model engine stand-in: chat completions as server-sent events, `GET /executions`, `GET /load`, and
+/// `POST /control`, which changes `slowdown`, `draining`, `load_lag_ms` and `max_running` of the running stand-in.
 class EngineApi
 {
 public:
@@ -56,14 +72,19 @@
     boost::asio::awaitable<void> handleChat(HttpExchange &exchange);
     boost::asio::awaitable<void> generate(HttpExchange &exchange, EngineRequest request);
     boost::asio::awaitable<void> sleep(Duration duration);
-    Duration tokenTime() const;
+    HttpResponse control(const std::string &body);
+    Duration tokenTime(const EngineRequest &request) const;
+    bool isExhausted() const;
     HttpResponse executionsResponse() const;
     HttpResponse loadResponse() const;
+    void changeRunning(int change, int priority);
 
     boost::asio::io_context &context;
     EngineProfile profile;
     std::vector<Execution> executions;
     int running = 0;
+    int runningLow = 0;
+    LoadHistory history;
 };
 
 } // namespace Godwitfork
--- a/Services/EngineStandIn/main.cpp
+++ b/Services/EngineStandIn/main.cpp
@@ -17,6 +17,9 @@
         TCLAP::ValueArg<int> perToken("", "token-us", "Time of each further token", false, 1000, "microseconds", command);
         TCLAP::ValueArg<int> slots("", "slots", "Requests that run at full speed", false, 64, "count", command);
         TCLAP::ValueArg<double> skill("", "skill", "Share of prompts answered well", false, 1, "0 to 1", command);
+        TCLAP::ValueArg<int> maxRunning("", "max-running", "Requests above this are refused; 0 for no limit", false, 0, "count", command);
+        TCLAP::ValueArg<int> loadLag("", "load-lag-ms", "Age of the load that reports state", false, 0, "milliseconds", command);
+        TCLAP::SwitchArg ignorePriority("", "ignore-priority", "Serve low-priority requests like the others", command);
         command.parse(argc, argv);
         EngineProfile profile;
         profile.name = name.getValue();
@@ -25,6 +28,9 @@
         profile.perToken = Duration(perToken.getValue());
         profile.slots = slots.getValue();
         profile.skill = skill.getValue();
+        profile.maxRunning = maxRunning.getValue();
+        profile.loadLag = std::chrono::milliseconds(loadLag.getValue());
+        profile.priorities = ignorePriority.getValue() ? EnginePriorities::Ignored : EnginePriorities::Honoured;
         boost::asio::io_context context;
         EngineApi api(context, profile);
         runStandIn(
--- a/Services/Router/ChatHandler.cpp
+++ b/Services/Router/ChatHandler.cpp
@@ -50,6 +50,10 @@
         ApiError error = apiError("store_unavailable", "billing records cannot be kept safely at the moment");
         co_return co_await this->refuse(std::move(error));
     }
+    if (!this->takeRateToken()) {
+        ApiError error = apiError("rate_limited", "the account has passed its requests per second");
+        co_return co_await this->refuse(std::move(error));
+    }
     StepResult result = co_await this->execute(request.value(), choice.value(), deadline.value());
     co_return co_await this->finish(request.value(), std::move(result));
 }
@@ -105,6 +109,14 @@
     return ModelChoice {name, version->name};
 }
 
+// FIXME: The rate counts for this instance alone until membership tells how many instances share it.
+bool ChatHandler::takeRateToken()
+{
+    const double rate = this->account.requestsPerSecond / this->worker.settings.trafficThreads;
+    const RateLimit limit {rate, std::max(1.0, rate)};
+    return takeToken(this->worker.rateLimits[this->account.name], limit, this->started) == Duration::zero();
+}
+
 Asio::awaitable<std::string> ChatHandler::refuse(ApiError error)
 {
     logEvent(LogLevel::Info,
@@ -133,7 +145,14 @@
     step.requestId = this->facts.requestId;
     step.model = choice.model;
     step.version = choice.version;
-    step.body = engineBody(request, choice.model + ":" + choice.version);
+    step.account = this->account.name;
+    step.priority = this->account.priority;
+    step.route.length = jobLength(this->worker.settings.routing, request.expectedTokens);
+    step.route.expectedTokens = request.expectedTokens;
+    step.route.prefixHash = request.prefixHash;
+    step.route.prefixTokens = request.prefixTokens;
+    const EnginePriority priority = step.route.length == JobLength::Long ? EnginePriority::Low : EnginePriority::Normal;
+    step.body = engineBody(request, choice.model + ":" + choice.version, priority);
     step.deadline = deadline;
     if (request.form == AnswerForm::Streamed) {
         step.sink = [this](std::string text) { return this->forward(std::move(text)); };
@@ -183,6 +202,12 @@
 
 Asio::awaitable<std::string> ChatHandler::fail(const StepResult &result)
 {
+    // A request that did not run costs nothing, so its refusal does not wait for the ledger.
+    if (result.error.ran == Ran::No) {
+        std::string code = co_await this->refuse(result.error);
+        co_await this->commit(result, RequestOutcome::Failed);
+        co_return code;
+    }
     co_await this->commit(result, RequestOutcome::Failed);
     if (!this->streamStarted) {
         co_return co_await this->refuse(result.error);
--- a/Services/Router/ChatHandler.h
+++ b/Services/Router/ChatHandler.h
@@ -34,6 +34,7 @@
     Outcome<ModelChoice, ApiError> chooseModel(const ChatRequest &request) const;
     Outcome<ModelChoice, ApiError> checkExplicitVersion(const Model &model, const std::string &version) const;
     Outcome<MonotonicTime, ApiError> readDeadline() const;
+    bool takeRateToken();
     boost::asio::awaitable<std::string> refuse(ApiError error);
     boost::asio::awaitable<StepResult> execute(const ChatRequest &request, const ModelChoice &choice, MonotonicTime deadline);
     boost::asio::awaitable<bool> forward(std::string text);
--- a/Services/Router/ChatRequest.cpp
+++ b/Services/Router/ChatRequest.cpp
@@ -1,5 +1,7 @@
 #include "ChatRequest.h"
 
+#include "LibCore/Digest.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Godwitfork
@@ -24,6 +26,29 @@
     return boost::outcome_v2::success();
 }
 
+/// Engines cache prompts in blocks; a shorter common prefix saves too little to give up the freedom of choice.
+constexpr std::size_t prefixBytes = 1024;
+constexpr double bytesPerToken = 4;
+
+void fillEstimates(ChatRequest &request, const Json &body)
+{
+    for (const char *key : {"max_tokens", "max_completion_tokens"}) {
+        if (body.contains(key) && body[key].is_number()) {
+            request.expectedTokens = body[key].get<double>();
+        }
+    }
+    std::string prompt;
+    for (const Json &message : body["messages"]) {
+        if (prompt.size() < prefixBytes && message["content"].is_string()) {
+            prompt += message["content"].get<std::string>();
+        }
+    }
+    if (prompt.size() >= prefixBytes) {
+        request.prefixHash = hash64(std::string_view(prompt).substr(0, prefixBytes));
+        request.prefixTokens = prefixBytes / bytesPerToken;
+    }
+}
+
 Outcome<void, ApiError> checkNumbers(const Json &body)
 {
     for (const char *key : {"max_tokens", "max_completion_tokens"}) {
@@ -64,15 +89,18 @@
     request.version = colon == std::string::npos ? "" : name.substr(colon + 1);
     request.form = json.contains("stream") && json["stream"] == true ? AnswerForm::Streamed : AnswerForm::Whole;
     request.body = body;
+    fillEstimates(request, json);
     return request;
 }
 
-std::string engineBody(const ChatRequest &request, const std::string &modelAndVersion)
+std::string engineBody(const ChatRequest &request, const std::string &modelAndVersion, EnginePriority priority)
 {
     Json json = Json::parse(request.body);
     json["model"] = modelAndVersion;
     json["stream"] = true;
     json.erase("stream_options");
+    // Callers do not choose their place in the engine's queue. Greater numbers wait longer.
+    json["priority"] = priority == EnginePriority::Low ? 1 : 0;
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
--- a/Services/Router/ChatRequest.h
+++ b/Services/Router/ChatRequest.h
@@ -3,6 +3,7 @@
 #include "ApiError.h"
 #include "LibCore/Error.h"
 
+#include <cstdint>
 #include <string>
 
 namespace Godwitfork
@@ -19,13 +20,20 @@
     AnswerForm form = AnswerForm::Whole;
     /// Body to forward; its `model` and `stream` members are set for each step.
     std::string body;
+    /// Upper bound that the caller set, or a usual length.
+    double expectedTokens = 64;
+    /// Hash of the first part of a long prompt, whose computation an engine may have cached; 0 for a short prompt.
+    std::uint64_t prefixHash = 0;
+    double prefixTokens = 0;
 
     auto operator<=>(const ChatRequest &) const = default;
 };
 
 Outcome<ChatRequest, ApiError> parseChatRequest(const std::string &body);
 
-/// Body for an engine: the caller's body with the engine's model name, always streamed.
-std::string engineBody(const ChatRequest &request, const std::string &modelAndVersion);
+enum class EnginePriority { Normal, Low };
+
+/// Body for an engine: the caller's body with the engine's model name and priority, always streamed.
+std::string engineBody(const ChatRequest &request, const std::string &modelAndVersion, EnginePriority priority);
 
 } // namespace Godwitfork
--- /dev/null
+++ b/Services/Router/EndpointPool.cpp
@@ -0,0 +1,86 @@
+#include "EndpointPool.h"
+
+#include <algorithm>
+
+namespace Godwitfork
+{
+
+namespace
+{
+/// An endpoint whose address has changed is another endpoint: nothing that was observed of the old one holds.
+std::optional<EndpointIndex> findTarget(const EndpointPool &pool, const Endpoint &endpoint)
+{
+    const HttpAddress address = parseHttpAddress(endpoint.address);
+    for (EndpointIndex index = 0; index < pool.targets.size(); ++index) {
+        if (pool.targets[index].name == endpoint.name && pool.targets[index].address == address) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string groupName(const Endpoint &endpoint)
+{
+    std::vector<std::string> serves = endpoint.serves;
+    std::sort(serves.begin(), serves.end());
+    std::string name;
+    for (const std::string &served : serves) {
+        name += served + "\n";
+    }
+    return name;
+}
+
+EndpointIndex addTarget(EndpointPool &pool, const Endpoint &endpoint)
+{
+    pool.targets.push_back({endpoint.name, parseHttpAddress(endpoint.address), endpoint.failureDomain, endpoint.fencing});
+    return addEndpoint(pool.table, endpoint.name, endpoint.failureDomain, groupName(endpoint));
+}
+} // namespace
+
+EndpointPool makeEndpointPool(const RouterSettings &settings)
+{
+    EndpointPool pool;
+    pool.settings = settings.routing;
+    pool.table.ownFailureDomain = settings.failureDomain;
+    return pool;
+}
+
+void adoptSnapshot(EndpointPool &pool, const RoutingSnapshot &snapshot)
+{
+    for (RoutedEndpoint &endpoint : pool.table.endpoints) {
+        endpoint.drain.byOperator = true;
+    }
+    pool.byServed.clear();
+    for (const auto &[name, endpoint] : snapshot.site().endpoints) {
+        if (endpoint.state != EndpointState::Active) {
+            continue;
+        }
+        const auto known = findTarget(pool, endpoint);
+        const EndpointIndex index = known ? *known : addTarget(pool, endpoint);
+        pool.table.endpoints[index].drain.byOperator = false;
+        for (const std::string &served : endpoint.serves) {
+            pool.byServed[served].push_back(index);
+        }
+    }
+}
+
+std::optional<EndpointIndex> chooseServing(EndpointPool &pool, const std::string &served, RouteRequest request, MonotonicTime now, RandomSource &random)
+{
+    const auto serving = pool.byServed.find(served);
+    if (serving == pool.byServed.end()) {
+        return std::nullopt;
+    }
+    request.eligible = serving->second;
+    return chooseEndpoint(pool.table, pool.settings, request, now, random);
+}
+
+void adoptInstanceList(EndpointPool &pool, const std::vector<std::string> &leavingAddresses)
+{
+    for (EndpointIndex index = 0; index < pool.targets.size(); ++index) {
+        const std::string address = toText(pool.targets[index].address);
+        const bool isLeaving = std::find(leavingAddresses.begin(), leavingAddresses.end(), address) != leavingAddresses.end();
+        pool.table.endpoints[index].drain.byInstanceList = isLeaving;
+    }
+}
+
+} // namespace Godwitfork
--- a/Services/Router/EngineStep.h
+++ b/Services/Router/EngineStep.h
@@ -21,6 +21,11 @@
     std::string model;
     std::string version;
     std::string body;
+    std::string account;
+    /// Of the client account; greater goes first under overload.
+    int priority = 0;
+    /// What the choice of the endpoint depends on.
+    RouteRequest route;
     MonotonicTime deadline;
     /// Empty for a buffered step, whose text is in the result alone.
     DeltaSink sink;
@@ -43,7 +48,8 @@
     std::int64_t lostCompletionTokens = 0;
 };
 
-/// Runs a step on an endpoint. As long as no text has gone to the sink, a failed attempt is repeated on another endpoint.
+/// Runs a step on an endpoint, once its pool has a place. As long as no text has gone to the sink, a failed attempt is
+/// repeated on another endpoint within the account's retry budget.
 boost::asio::awaitable<StepResult> runStep(Worker &worker, StepRequest request);
 
 } // namespace Godwitfork
--- a/Services/Router/RouterSettings.cpp
+++ b/Services/Router/RouterSettings.cpp
@@ -2,6 +2,7 @@
 
 #include "LibSettings/SettingsReader.h"
 
+#include <cmath>
 #include <sstream>
 
 namespace Godwitfork
@@ -19,6 +20,38 @@
     return address;
 }
 
+HttpAddress readOptionalAddress(SettingsReader &reader, const std::string &key)
+{
+    const std::string text = reader.text(key, "");
+    const HttpAddress address = parseHttpAddress(text);
+    if (!text.empty() && address.host.empty()) {
+        reader.addFinding(key, "must be an IP address and a port, as in 127.0.0.1:8080");
+    }
+    return address;
+}
+
+RoutingSettings readRouting(SettingsReader &reader)
+{
+    RoutingSettings routing;
+    const auto policy = parseRoutingPolicy(reader.text("routing_policy", "power_of_two"));
+    if (!policy) {
+        reader.addFinding("routing_policy", "must be power_of_two, round_robin or least_outstanding");
+    }
+    routing.policy = policy.value_or(RoutingPolicy::PowerOfTwo);
+    routing.longJobShare = static_cast<double>(reader.integer("long_job_share_percent", 50, 1, 100)) / 100;
+    routing.longJobTokens = static_cast<double>(reader.integer("long_job_tokens", 1000, 1, 10'000'000));
+    return routing;
+}
+
+AdmissionControl readAdmission(SettingsReader &reader)
+{
+    const std::string text = reader.text("admission_control", "on");
+    if (text != "on" && text != "off") {
+        reader.addFinding("admission_control", "must be on or off");
+    }
+    return text == "off" ? AdmissionControl::Off : AdmissionControl::On;
+}
+
 LogLevel readLogLevel(SettingsReader &reader)
 {
     const std::string name = reader.text("log_level", "info");
@@ -77,6 +110,10 @@
     settings.maxBodyBytes = reader.integer("max_body_bytes", 1024 * 1024, 1024, 64L * 1024 * 1024);
     settings.maxConnections = reader.integer("max_connections", 4096, 1, 100000);
     settings.sessionKeyFile = reader.requiredText("session_key_file");
+    settings.routing = readRouting(reader);
+    settings.admission = readAdmission(reader);
+    settings.loadPollInterval = reader.milliseconds("load_poll_ms", 1000, 50, 60000);
+    settings.instanceList = readOptionalAddress(reader, "instance_list");
     findings.append(reader.finish());
     return settings;
 }
@@ -98,7 +135,13 @@
          << "balancer_delay_ms: " << toMilliseconds(settings.balancerDelay) << "\n"
          << "max_body_bytes: " << settings.maxBodyBytes << "\n"
          << "max_connections: " << settings.maxConnections << "\n"
-         << "session_key_file: " << settings.sessionKeyFile << "\n";
+         << "session_key_file: " << settings.sessionKeyFile << "\n"
+         << "routing_policy: " << toText(settings.routing.policy) << "\n"
+         << "long_job_share_percent: " << std::lround(settings.routing.longJobShare * 100) << "\n"
+         << "long_job_tokens: " << std::lround(settings.routing.longJobTokens) << "\n"
+         << "admission_control: " << (settings.admission == AdmissionControl::On ? "on" : "off") << "\n"
+         << "load_poll_ms: " << toMilliseconds(settings.loadPollInterval) << "\n"
+         << "instance_list: " << (settings.instanceList.host.empty() ? "" : toText(settings.instanceList)) << "\n";
     return text.str();
 }
 
--- a/Services/Router/RouterSettings.h
+++ b/Services/Router/RouterSettings.h
@@ -4,12 +4,16 @@
 #include "LibCore/Log.h"
 #include "LibCore/Time.h"
 #include "LibHttp/HttpMessage.h"
+#include "LibRouting/EndpointChoice.h"
 
 #include <string>
 
 namespace Godwitfork
 {
 
+/// `Off` is the baseline that measurements compare against.
+enum class AdmissionControl { On, Off };
+
 /// Settings of one router process, read once at its start. The documented defaults are in docs/settings.md.
 struct RouterSettings {
     std::string instance;
@@ -29,6 +33,12 @@
     long maxBodyBytes = 1024 * 1024;
     long maxConnections = 4096;
     std::string sessionKeyFile;
+    RoutingSettings routing;
+    AdmissionControl admission = AdmissionControl::On;
+    /// Longest time between two load reports of an endpoint.
+    Duration loadPollInterval = std::chrono::seconds(1);
+    /// Platform's list of live and leaving instances; empty for none.
+    HttpAddress instanceList;
 };
 
 /// Reads settings from YAML text; adds every mistake to `findings`.
--- a/Services/Router/TrafficThread.cpp
+++ b/Services/Router/TrafficThread.cpp
@@ -18,6 +18,7 @@
 
 TrafficThread::TrafficThread(const RouterSettings &settings, const HttpAddress &listen, ControlPlane &control, RouterStatus &status, Metrics &metrics)
     : worker(settings, control, status, metrics)
+    , poller(this->worker)
     , api(this->worker)
     , server(
           this->worker.context,
@@ -41,6 +42,7 @@
 void TrafficThread::start()
 {
     this->server.start();
+    this->poller.start();
     this->thread = std::thread([this] {
         const auto guard = boost::asio::make_work_guard(this->worker.context);
         this->worker.context.run();
@@ -49,7 +51,14 @@
 
 void TrafficThread::postSnapshot(SnapshotPointer snapshot)
 {
-    boost::asio::post(this->worker.context, [this, snapshot = std::move(snapshot)] { this->worker.snapshot = snapshot; });
+    boost::asio::post(this->worker.context, [this, snapshot = std::move(snapshot)] { this->adopt(snapshot); });
+}
+
+void TrafficThread::adopt(SnapshotPointer snapshot)
+{
+    adoptSnapshot(this->worker.pool, *snapshot);
+    this->worker.snapshot = std::move(snapshot);
+    this->poller.pollNewEndpoints();
 }
 
 void TrafficThread::postStopListening()
--- a/Services/Router/TrafficThread.h
+++ b/Services/Router/TrafficThread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CallerApi.h"
+#include "EndpointPoller.h"
 #include "LibHttp/HttpServer.h"
 #include "Worker.h"
 
@@ -29,7 +30,10 @@
     void join();
 
 private:
+    void adopt(SnapshotPointer snapshot);
+
     Worker worker;
+    EndpointPoller poller;
     CallerApi api;
     HttpServer server;
     std::thread thread;
--- a/Tests/LibAdmission/TestLimits.cpp
+++ b/Tests/LibAdmission/TestLimits.cpp
@@ -108,10 +108,10 @@
     CHECK(limit.limit == 4);
     CHECK_FALSE(hasFreePlace(limit));
     for (int i = 0; i < 1000; ++i) {
-        recordPrompt(limit, std::chrono::milliseconds(10), now);
+        recordPrompt(limit, std::chrono::milliseconds(30), now);
     }
     CHECK(limit.limit > 40);
     const double before = limit.limit;
-    recordPrompt(limit, std::chrono::milliseconds(100), now + std::chrono::seconds(1));
+    recordPrompt(limit, std::chrono::milliseconds(121), now + std::chrono::seconds(1));
     CHECK(limit.limit < before);
 }
