--- a/Libraries/LibAdmission/ConcurrencyLimit.cpp
+++ b/Libraries/LibAdmission/ConcurrencyLimit.cpp
@@ -15,8 +15,10 @@
 constexpr Duration lowestLifetime = std::chrono::seconds(30);
 /// A batch of four prefills is usual work for an engine; a longer wait for the first byte means a queue.
 constexpr int queuedRatio = 4;
+/// The mean covers some tens of requests, so that a few stragglers in a pool do not count as a queue.
+constexpr int firstByteWeight = 32;
 /// Below this, the ratio measures scheduling noise.
-constexpr Duration firstByteFloor = std::chrono::milliseconds(5);
+constexpr Duration firstByteFloor = std::chrono::milliseconds(25);
 
 void decrease(ConcurrencyLimit &limit, MonotonicTime now)
 {
@@ -40,7 +42,9 @@
         limit.lowestFirstByte = std::max(Duration(1), firstByte);
         limit.lowestMeasured = now;
     }
-    if (firstByte > std::max(firstByteFloor, limit.lowestFirstByte) * queuedRatio) {
+    // Starts at zero, since a first sample from a straggler would stand for the pool.
+    limit.usualFirstByte += (firstByte - limit.usualFirstByte) / firstByteWeight;
+    if (limit.usualFirstByte > std::max(firstByteFloor, limit.lowestFirstByte) * queuedRatio) {
         decrease(limit, now);
         return;
     }
