Test ratings by the histogram of the stable version

The good distribution is now the stable version's histogram; the bad one is the closest distribution with a mean lower by a quarter (exponential tilting).

The type of a session's pin is renamed, because LibSession has one of the same name.

--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -152,9 +152,9 @@
     return 0;
 }
 
-bool isExposed(const Rollout &rollout, SessionPin pin, double draw)
+bool isExposed(const Rollout &rollout, PinState pin, double draw)
 {
-    return pin == SessionPin::None && draw < exposureShare(rollout);
+    return pin == PinState::Unpinned && draw < exposureShare(rollout);
 }
 
 } // namespace Godwitfork
--- a/Libraries/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/Rollout.h
@@ -68,13 +68,13 @@
 ErrorOr<Rollout> resume(Rollout rollout, WallTime now);
 ErrorOr<Rollout> withdraw(Rollout rollout, WallTime now);
 
-enum class SessionPin { None, Pinned };
+enum class PinState { Unpinned, Pinned };
 
 /// Share of the unpinned requests that may run on the candidate now.
 double exposureShare(const Rollout &rollout);
 
 /// Whether a request runs on the candidate. `draw` is uniform in [0, 1).
-bool isExposed(const Rollout &rollout, SessionPin pin, double draw);
+bool isExposed(const Rollout &rollout, PinState pin, double draw);
 
 std::string toStoredJson(const Rollout &rollout);
 /// Fails with `invalid_rollout` for malformed text.
--- a/Libraries/LibRollout/SequentialTest.h
+++ b/Libraries/LibRollout/SequentialTest.h
@@ -1,31 +1,38 @@
 #pragma once
 
+#include <array>
 #include <compare>
 #include <cstdint>
 
 namespace Godwitfork
 {
 
+constexpr int ratingBinCount = 20;
+
+/// Number of ratings in each of the equally wide bins of [0, 1].
+using RatingCounts = std::array<std::int64_t, ratingBinCount>;
+
+int ratingBin(double rating);
+
 /// What the stable version shows under the same traffic.
 struct ReferenceQuality {
-    double meanRating = 0;
-    double ratingVariance = 0;
+    RatingCounts ratings = {};
     double errorRate = 0;
 
     auto operator<=>(const ReferenceQuality &) const = default;
 };
 
-/// Ratings and answers of a candidate since the last observation. Ratings are in [0, 1].
+/// Ratings and answers of a candidate since the last observation.
 struct CandidateObservation {
-    std::int64_t ratings = 0;
-    double ratingSum = 0;
+    RatingCounts ratings = {};
     std::int64_t answers = 0;
     std::int64_t errors = 0;
 
     auto operator<=>(const CandidateObservation &) const = default;
 };
 
-/// Log-likelihood ratios of "bad" against "good". Bad means a rating that is lower by a quarter, or an error rate above
+/// Log-likelihood ratios of "bad" against "good". Good means ratings distributed as the stable version's; bad means a mean
+/// rating that is lower by a quarter, or an error rate above
 /// the stable version's by a stated factor.
 struct SequentialTest {
     double ratingEvidence = 0;
--- a/Tests/LibRollout/TestRollout.cpp
+++ b/Tests/LibRollout/TestRollout.cpp
@@ -8,13 +8,25 @@
 
 namespace
 {
-const ReferenceQuality reference {0.8, 0.04, 0.002};
 constexpr int replicas = 20;
 const WallTime start {std::chrono::hours(495000)};
 
+/// Ratings spread evenly over 0.4 around a mean.
+RatingCounts spreadRatings(double mean, int count)
+{
+    RatingCounts ratings = {};
+    for (int i = 0; i < count; ++i) {
+        const double offset = ((i * 7) % 20 + 0.5) / 20 * 0.4 - 0.2;
+        ++ratings[static_cast<std::size_t>(ratingBin(mean + offset))];
+    }
+    return ratings;
+}
+
+const ReferenceQuality reference {spreadRatings(0.8, 2000), 0.002};
+
 CandidateObservation ratingsOf(double mean, int count)
 {
-    return {count, mean * count, count, 0};
+    return {spreadRatings(mean, count), count, 0};
 }
 
 /// Object of a store with conditional updates; a version of 0 means absent.
@@ -54,7 +66,7 @@
         CHECK(exposureShare(rollout) == before);
         rollout = advance(rollout, replicasNeeded(rollout, replicas), replicas, now);
         CHECK(exposureShare(rollout) == exposureStages[stage]);
-        CHECK_FALSE(isExposed(rollout, SessionPin::Pinned, 0));
+        CHECK_FALSE(isExposed(rollout, PinState::Pinned, 0));
         rollout = recordObservation(rollout, reference, ratingsOf(0.8, 200), now);
         CHECK(advance(rollout, replicas, replicas, now) == rollout);
         now += std::chrono::seconds(120);
@@ -69,7 +81,7 @@
     Rollout rollout = advance(makeRollout("blazon", "1", "2", start), replicas, replicas, start);
     rollout = recordObservation(rollout, reference, ratingsOf(0.6, 20), start);
     REQUIRE(rollout.phase == RolloutPhase::Paused);
-    CHECK_FALSE(isExposed(rollout, SessionPin::None, 0));
+    CHECK_FALSE(isExposed(rollout, PinState::Unpinned, 0));
     CHECK(recordObservation(rollout, reference, ratingsOf(0.6, 20), start).phase == RolloutPhase::Withdrawn);
     CHECK(recordObservation(rollout, reference, ratingsOf(0.8, 20), start).phase == RolloutPhase::Loading);
     CHECK(advance(rollout, replicas, replicas, start + std::chrono::seconds(600)).phase == RolloutPhase::Withdrawn);
@@ -87,7 +99,7 @@
 TEST_CASE("Errors alone pause the roll-out")
 {
     Rollout rollout = advance(makeRollout("blazon", "1", "2", start), replicas, replicas, start);
-    rollout = recordObservation(rollout, reference, {0, 0, 10, 4}, start);
+    rollout = recordObservation(rollout, reference, {{}, 10, 4}, start);
     CHECK(rollout.phase == RolloutPhase::Paused);
 }
 
@@ -170,7 +182,7 @@
             RC_ASSERT(object.content.stage >= before.stage);
             RC_ASSERT(object.content.stage <= before.stage + 1);
             withdrawn = withdrawn || object.content.phase == RolloutPhase::Withdrawn;
-            RC_ASSERT(!withdrawn || !isExposed(object.content, SessionPin::None, 0));
+            RC_ASSERT(!withdrawn || !isExposed(object.content, PinState::Unpinned, 0));
         }
     }));
 }
--- a/Utilities/PolicyExperiment/RolloutExperiment.cpp
+++ b/Utilities/PolicyExperiment/RolloutExperiment.cpp
@@ -35,18 +35,27 @@
     return bad ? drawRating(quality * badFactor, random) : request.answers.back().rating;
 }
 
-/// Mean and variance of the stable version's ratings, from a sample as the controller sees it.
-ReferenceQuality sampleReference(const Deployment &deployment, RandomSource &random)
+/// Ratings of the stable version, from a sample as the controller sees it.
+struct Reference {
+    ReferenceQuality quality;
+    double mean = 0;
+    double variance = 0;
+};
+
+Reference sampleReference(const Deployment &deployment, RandomSource &random)
 {
+    Reference reference;
     double sum = 0;
     double squares = 0;
     for (int i = 0; i < referenceSamples; ++i) {
         const double rating = drawCandidateRating(deployment, false, random);
+        ++reference.quality.ratings[static_cast<std::size_t>(ratingBin(rating))];
         sum += rating;
         squares += rating * rating;
     }
-    const double mean = sum / referenceSamples;
-    return {mean, squares / referenceSamples - mean * mean, 0};
+    reference.mean = sum / referenceSamples;
+    reference.variance = squares / referenceSamples - reference.mean * reference.mean;
+    return reference;
 }
 
 struct LateRating {
@@ -62,7 +71,7 @@
 /// One roll-out in steps of a second, from its start to its end.
 struct RolloutRun {
     RolloutRun(const Deployment &deployment, RandomSource &random)
-        : deployment(deployment), random(random), reference(sampleReference(deployment, random)), rollout(makeRollout("model", "1", "2", wallTime(0)))
+        : deployment(deployment), random(random), reference(sampleReference(deployment, random).quality), rollout(makeRollout("model", "1", "2", wallTime(0)))
     {
     }
 
@@ -78,7 +87,7 @@
         int exposed = 0;
         for (int i = 0; i < arrivals; ++i) {
             const double draw = std::uniform_real_distribution<double>()(this->random);
-            if (isExposed(this->rollout, SessionPin::None, draw)) {
+            if (isExposed(this->rollout, PinState::Unpinned, draw)) {
                 ++exposed;
                 const double due = this->second + drawDelay(this->deployment, this->random);
                 this->pending.push({due, drawCandidateRating(this->deployment, bad, this->random)});
@@ -93,10 +102,9 @@
 
     void takeRatings(int answers)
     {
-        CandidateObservation observation {0, 0, answers, 0};
+        CandidateObservation observation {{}, answers, 0};
         while (!this->pending.empty() && this->pending.top().dueSeconds <= this->second) {
-            ++observation.ratings;
-            observation.ratingSum += this->pending.top().rating;
+            ++observation.ratings[static_cast<std::size_t>(ratingBin(this->pending.top().rating))];
             this->pending.pop();
         }
         this->rollout = recordObservation(this->rollout, this->reference, observation, wallTime(this->second));
@@ -114,7 +122,7 @@
 /// Whether a canary of 5 % passes; its version turns bad at the given second.
 bool canaryPasses(const Deployment &deployment, int turnSecond, RandomSource &random)
 {
-    const ReferenceQuality reference = sampleReference(deployment, random);
+    const Reference reference = sampleReference(deployment, random);
     double sum = 0;
     int count = 0;
     for (int second = 0; second < canarySeconds; ++second) {
@@ -126,7 +134,7 @@
             }
         }
     }
-    return sum / count > reference.meanRating - canaryQuantile * std::sqrt(reference.ratingVariance / count);
+    return sum / count > reference.mean - canaryQuantile * std::sqrt(reference.variance / count);
 }
 } // namespace
 
