Limit the exposure of the first two stages by unrated answers

The stages of 1 % and 5 % are now upper limits; the holder lowers the share so that about 4 answers wait. Later stages stay as they are, to show the version under load.

--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -14,6 +14,16 @@
 // Ratings arrive within minutes; a version that they have not cleared by then stays out of use.
 constexpr Duration longestVerification = std::chrono::seconds(600);
 
+// Stages in which the exposure is limited. The later ones are there to show the version under load.
+constexpr std::size_t limitedStages = 2;
+// Answers that wait for ratings. Every one of them may be bad without being known, and the test needs about 6 ratings.
+constexpr double unratedAnswers = 4;
+
+double shareOfStage(const Rollout &rollout, std::size_t stage)
+{
+    return stage < limitedStages ? std::min(exposureStages[stage], rollout.shareLimit) : exposureStages[stage];
+}
+
 bool isFinal(const Rollout &rollout)
 {
     return rollout.phase == RolloutPhase::Withdrawn || rollout.phase == RolloutPhase::Completed;
@@ -59,6 +69,12 @@
     return rollout;
 }
 
+Rollout limitShare(Rollout rollout, double requestsPerRatingDelay)
+{
+    rollout.shareLimit = requestsPerRatingDelay > unratedAnswers ? unratedAnswers / requestsPerRatingDelay : 1;
+    return rollout;
+}
+
 int replicasNeeded(const Rollout &rollout, int replicas)
 {
     return static_cast<int>(std::ceil(exposureStages[rollout.stage] * replicas));
@@ -140,9 +156,9 @@
 {
     switch (rollout.phase) {
     case RolloutPhase::Loading:
-        return rollout.stage == 0 ? 0 : exposureStages[rollout.stage - 1];
+        return rollout.stage == 0 ? 0 : shareOfStage(rollout, rollout.stage - 1);
     case RolloutPhase::Exposing:
-        return exposureStages[rollout.stage];
+        return shareOfStage(rollout, rollout.stage);
     case RolloutPhase::Completed:
         return 1;
     case RolloutPhase::Paused:
--- a/Libraries/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/Rollout.h
@@ -42,6 +42,8 @@
     /// Evidence of the stage, or after an automatic pause that of the ratings which arrive late.
     SequentialTest test;
     bool pausedByOperator = false;
+    /// Upper limit of the exposure in the first two stages; see limitShare.
+    double shareLimit = 1;
 
     auto operator<=>(const Rollout &) const = default;
 };
@@ -52,6 +54,10 @@
 /// State after a change of holder. Everything but the term stays, so that a roll-out that stopped partway goes on.
 Rollout takeOver(Rollout rollout, std::uint64_t term);
 
+/// Limits the exposure of the stages up to 5 % so that few answers wait for their ratings at any time. The argument is
+/// the number of unpinned requests during the mean delay of a rating.
+Rollout limitShare(Rollout rollout, double requestsPerRatingDelay);
+
 /// Number of replicas that must have the candidate's weights before the current stage starts.
 int replicasNeeded(const Rollout &rollout, int replicas);
 
--- a/Libraries/LibRollout/RolloutJson.cpp
+++ b/Libraries/LibRollout/RolloutJson.cpp
@@ -25,6 +25,7 @@
                                    {"error_evidence", rollout.test.errorEvidence},
                                    {"rating_alarm", rollout.test.ratingAlarm},
                                    {"error_alarm", rollout.test.errorAlarm},
+                                   {"share_limit", rollout.shareLimit},
                                    {"paused_by_operator", rollout.pausedByOperator}};
     return object.dump();
 }
@@ -46,6 +47,7 @@
         object.at("error_evidence").get_to(rollout.test.errorEvidence);
         object.at("rating_alarm").get_to(rollout.test.ratingAlarm);
         object.at("error_alarm").get_to(rollout.test.errorAlarm);
+        object.at("share_limit").get_to(rollout.shareLimit);
         object.at("paused_by_operator").get_to(rollout.pausedByOperator);
         if (rollout.stage >= exposureStages.size()) {
             return Error {"invalid_rollout", "stage " + std::to_string(rollout.stage) + " does not exist"};
--- a/Tests/LibRollout/TestRollout.cpp
+++ b/Tests/LibRollout/TestRollout.cpp
@@ -95,6 +95,17 @@
     CHECK(recordObservation(rollout, reference, ratingsOf(0.6, 20), start).phase == RolloutPhase::Paused);
 }
 
+// Guards against many bad answers that are given before the first of them is rated.
+TEST_CASE("The first stages expose no more than the ratings can follow")
+{
+    Rollout rollout = limitShare(makeRollout("blazon", "1", "2", start), 1000);
+    rollout = advance(rollout, replicas, replicas, start);
+    CHECK(exposureShare(rollout) == Approx(0.004));
+    rollout.stage = 2;
+    CHECK(exposureShare(rollout) == exposureStages[2]);
+    CHECK(exposureShare(limitShare(rollout, 0)) == exposureStages[2]);
+}
+
 // Guards against a version that fails without ever being rated.
 TEST_CASE("Errors alone pause the roll-out")
 {
--- a/Utilities/PolicyExperiment/RolloutExperiment.cpp
+++ b/Utilities/PolicyExperiment/RolloutExperiment.cpp
@@ -71,7 +71,10 @@
 /// One roll-out in steps of a second, from its start to its end.
 struct RolloutRun {
     RolloutRun(const Deployment &deployment, RandomSource &random)
-        : deployment(deployment), random(random), reference(sampleReference(deployment, random).quality), rollout(makeRollout("model", "1", "2", wallTime(0)))
+        : deployment(deployment)
+        , random(random)
+        , reference(sampleReference(deployment, random).quality)
+        , rollout(limitShare(makeRollout("model", "1", "2", wallTime(0)), deployment.requestsPerSecond * deployment.ratingDelaySeconds))
     {
     }
 
