--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -261,8 +261,10 @@
             signs.push_back(*entry.lastSign);
         }
     }
+    // A single known member is no majority: while it is cut off, others may join through the store without its knowledge.
+    constexpr std::size_t minCounted = 2;
     const std::size_t needed = counted / 2 + 1;
-    if (counted == 0 || signs.size() < needed) {
+    if (counted < minCounted || signs.size() < needed) {
         return std::nullopt;
     }
     std::sort(signs.rbegin(), signs.rend());
--- a/Services/Router/ControlPlane.cpp
+++ b/Services/Router/ControlPlane.cpp
@@ -39,6 +39,10 @@
     , ledgerService(context, this->store, status, this->incarnationName, settings.failureDomain)
     , sessionService(this->store)
 {
+    if (!settings.peerListen.host.empty()) {
+        this->peerService = std::make_unique<PeerService>(context, settings, status, this->store, this->ledgerService, this->incarnationName);
+        this->peerService->onRevision([this](std::uint64_t newRevision, const std::string &body) { this->adopt(newRevision, body); });
+    }
 }
 
 void ControlPlane::onSnapshot(SnapshotListener newListener)
@@ -49,6 +53,14 @@
 void ControlPlane::start()
 {
     Asio::co_spawn(this->context, this->followConfiguration(), Asio::detached);
+    if (this->peerService) {
+        this->peerService->start();
+    }
+}
+
+PeerService *ControlPlane::peers()
+{
+    return this->peerService.get();
 }
 
 Asio::io_context &ControlPlane::executionContext()
@@ -90,11 +102,12 @@
         bool reachable = co_await this->readConfiguration();
         while (reachable) {
             const MonotonicTime asked = monotonicNow();
+            const ObjectVersion watched = this->revision;
             // A frozen connection may deliver heartbeats late, so the lease counts from the time that their number proves.
             int heartbeats = 0;
-            const auto changes = co_await this->store.watch(configurationObject, this->revision, watchTime, [this, asked, &heartbeats] {
-                this->confirm(asked + heartbeatPeriod * heartbeats);
+            const auto changes = co_await this->store.watch(configurationObject, watched, watchTime, [this, watched, asked, &heartbeats] {
                 ++heartbeats;
+                this->takeHeartbeat(watched, asked, heartbeats);
             });
             reachable = changes.has_value();
             if (!reachable) {
@@ -102,9 +115,8 @@
                 break;
             }
             for (const StoredObject &object : changes.value()) {
-                this->adopt(object);
+                this->takeFromStore(object, asked);
             }
-            this->confirm(asked);
         }
         Asio::steady_timer pause(this->context, retryDelay);
         co_await pause.async_wait(Asio::use_awaitable);
@@ -119,29 +131,50 @@
         // An absent configuration is an answer too: the watch then waits for the first one.
         co_return object.error().failure == StoreFailure::NotFound;
     }
-    this->adopt(object.value());
-    this->confirm(asked);
+    this->takeFromStore(object.value(), asked);
     co_return true;
 }
 
-void ControlPlane::adopt(const StoredObject &object)
+void ControlPlane::takeFromStore(const StoredObject &object, MonotonicTime asked)
+{
+    if (object.name != configurationObject || object.value.empty()) {
+        return;
+    }
+    if (this->peerService) {
+        this->peerService->takeFromStore(object.version, object.value, asked);
+        return;
+    }
+    this->adopt(object.version, object.value);
+    this->confirm(asked);
+}
+
+void ControlPlane::takeHeartbeat(ObjectVersion watched, MonotonicTime asked, int heartbeat)
+{
+    if (this->peerService) {
+        this->peerService->takeHeartbeat(watched, asked, heartbeat);
+        return;
+    }
+    this->confirm(asked + heartbeatPeriod * (heartbeat - 1));
+}
+
+void ControlPlane::adopt(ObjectVersion newRevision, const std::string &body)
 {
-    if (object.name != configurationObject || object.version <= this->revision || object.value.empty()) {
+    if (newRevision <= this->revision) {
         return;
     }
-    auto configuration = configurationFromJson(object.value);
+    auto configuration = configurationFromJson(body);
     if (!configuration) {
-        logEvent(LogLevel::Error, "configuration.invalid", {{"revision", object.version}, {"reason", configuration.error().message}});
+        logEvent(LogLevel::Error, "configuration.invalid", {{"revision", newRevision}, {"reason", configuration.error().message}});
         return;
     }
     const auto site = configuration.value().sites.find(this->settings.site);
     if (site == configuration.value().sites.end()) {
-        logEvent(LogLevel::Error, "configuration.site_missing", {{"revision", object.version}, {"site", this->settings.site}});
+        logEvent(LogLevel::Error, "configuration.site_missing", {{"revision", newRevision}, {"site", this->settings.site}});
         return;
     }
-    this->revision = object.version;
-    logEvent(LogLevel::Info, "configuration.adopted", {{"revision", object.version}});
-    this->listener(std::make_shared<const RoutingSnapshot>(object.version, std::move(site->second)));
+    this->revision = newRevision;
+    logEvent(LogLevel::Info, "configuration.adopted", {{"revision", newRevision}});
+    this->listener(std::make_shared<const RoutingSnapshot>(newRevision, std::move(site->second)));
 }
 
 } // namespace Godwitfork
--- a/Services/Router/ControlPlane.h
+++ b/Services/Router/ControlPlane.h
@@ -3,12 +3,14 @@
 #include "LedgerService.h"
 #include "LibHttp/HttpClient.h"
 #include "LibObjectStore/ObjectStoreClient.h"
+#include "PeerService.h"
 #include "RouterSettings.h"
 #include "RouterStatus.h"
 #include "RoutingSnapshot.h"
 #include "SessionService.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace Godwitfork
@@ -30,13 +32,17 @@
     LedgerService &ledger();
     SessionService &sessions();
     ObjectStoreClient &objectStore();
+    /// Null if the settings name no peer listener.
+    PeerService *peers();
     /// Name of this run of the process: the instance's name and a random part.
     const std::string &incarnation() const;
 
 private:
     boost::asio::awaitable<void> followConfiguration();
     boost::asio::awaitable<bool> readConfiguration();
-    void adopt(const StoredObject &object);
+    void takeFromStore(const StoredObject &object, MonotonicTime asked);
+    void takeHeartbeat(ObjectVersion watched, MonotonicTime asked, int heartbeat);
+    void adopt(ObjectVersion newRevision, const std::string &body);
     void confirm(MonotonicTime asked);
 
     boost::asio::io_context &context;
@@ -49,6 +55,7 @@
     SessionService sessionService;
     SnapshotListener listener;
     ObjectVersion revision = 0;
+    std::unique_ptr<PeerService> peerService;
 };
 
 } // namespace Godwitfork
--- a/Services/Router/EndpointPoller.cpp
+++ b/Services/Router/EndpointPoller.cpp
@@ -78,6 +78,10 @@
 void EndpointPoller::pollNewEndpoints()
 {
     for (; this->polled < this->worker.pool.targets.size(); ++this->polled) {
+        // A plain service has no load report, and it may carry out whatever it is sent.
+        if (this->worker.pool.targets[this->polled].kind == EndpointKind::PlainService) {
+            continue;
+        }
         Asio::co_spawn(this->worker.context, this->pollEndpoint(this->polled), Asio::detached);
     }
 }
--- a/Services/Router/EndpointPool.cpp
+++ b/Services/Router/EndpointPool.cpp
@@ -30,9 +30,9 @@
     return name;
 }
 
-EndpointIndex addTarget(EndpointPool &pool, const Endpoint &endpoint)
+EndpointIndex addTarget(EndpointPool &pool, const Endpoint &endpoint, EndpointKind kind)
 {
-    pool.targets.push_back({endpoint.name, parseHttpAddress(endpoint.address), endpoint.failureDomain, endpoint.fencing});
+    pool.targets.push_back({endpoint.name, parseHttpAddress(endpoint.address), endpoint.failureDomain, endpoint.fencing, kind});
     return addEndpoint(pool.table, endpoint.name, endpoint.failureDomain, groupName(endpoint));
 }
 } // namespace
@@ -56,7 +56,7 @@
             continue;
         }
         const auto known = findTarget(pool, endpoint);
-        const EndpointIndex index = known ? *known : addTarget(pool, endpoint);
+        const EndpointIndex index = known ? *known : addTarget(pool, endpoint, kindOf(endpoint, snapshot.site()));
         pool.table.endpoints[index].drain.byOperator = false;
         for (const std::string &served : endpoint.serves) {
             pool.byServed[served].push_back(index);
--- a/Services/Router/Router.cpp
+++ b/Services/Router/Router.cpp
@@ -98,6 +98,9 @@
         this->administration->stop();
     }
     const bool flushed = co_await this->control.ledger().flush(flushLimit);
+    if (this->control.peers() != nullptr) {
+        co_await this->control.peers()->leave();
+    }
     logEvent(LogLevel::Info, "stop.finished", {{"active_requests", this->status.activeRequests()}, {"ledger_flushed", flushed}});
     this->context.stop();
 }
--- a/Services/Router/RouterSettings.cpp
+++ b/Services/Router/RouterSettings.cpp
@@ -140,6 +140,9 @@
     settings.routing = readRouting(reader);
     settings.admission = readAdmission(reader);
     settings.loadPollInterval = reader.milliseconds("load_poll_ms", 1000, 50, 60000);
+    settings.peerListen = readOptionalAddress(reader, "peer_listen");
+    settings.peerKeyFile = settings.peerListen.host.empty() ? reader.text("peer_key_file", "") : reader.requiredText("peer_key_file");
+    settings.peerKey = readKey(reader, "peer_key_file", settings.peerKeyFile);
     settings.instanceList = readOptionalAddress(reader, "instance_list");
     settings.sessionKey = readKey(reader, "session_key_file", settings.sessionKeyFile);
     findings.append(reader.finish());
@@ -171,6 +174,8 @@
          << "long_job_tokens: " << std::lround(settings.routing.longJobTokens) << "\n"
          << "admission_control: " << (settings.admission == AdmissionControl::On ? "on" : "off") << "\n"
          << "load_poll_ms: " << toMilliseconds(settings.loadPollInterval) << "\n"
+         << "peer_listen: " << (settings.peerListen.host.empty() ? "" : toText(settings.peerListen)) << "\n"
+         << "peer_key_file: " << settings.peerKeyFile << "\n"
          << "instance_list: " << (settings.instanceList.host.empty() ? "" : toText(settings.instanceList)) << "\n";
     return text.str();
 }
--- a/Services/Router/RouterSettings.h
+++ b/Services/Router/RouterSettings.h
@@ -43,6 +43,11 @@
     /// Longest time between two load reports of an endpoint.
     Duration loadPollInterval = std::chrono::seconds(1);
     /// Platform's list of live and leaving instances; empty for none.
+    /// Listener for links with other routers; without one the instance has neither journal keepers nor gossip.
+    HttpAddress peerListen;
+    std::string peerKeyFile;
+    /// Content of `peerKeyFile`; never logged or printed.
+    std::string peerKey;
     HttpAddress instanceList;
     /// Content of `sessionKeyFile`; never logged or printed.
     std::string sessionKey;
--- a/Services/Router/RoutingSnapshot.cpp
+++ b/Services/Router/RoutingSnapshot.cpp
@@ -2,9 +2,18 @@
 
 #include "LibCore/Digest.h"
 
+#include <algorithm>
+
 namespace Godwitfork
 {
 
+EndpointKind kindOf(const Endpoint &endpoint, const SiteConfiguration &site)
+{
+    const bool isService =
+        std::any_of(endpoint.serves.begin(), endpoint.serves.end(), [&](const std::string &served) { return site.services.contains(served); });
+    return isService ? EndpointKind::PlainService : EndpointKind::Engine;
+}
+
 RoutingSnapshot::RoutingSnapshot(std::uint64_t revision, SiteConfiguration site) : revisionNumber(revision), configuration(std::move(site))
 {
     for (const auto &[name, endpoint] : this->configuration.endpoints) {
@@ -12,7 +21,8 @@
             continue;
         }
         for (const std::string &served : endpoint.serves) {
-            this->endpointsByServed[served].push_back({name, parseHttpAddress(endpoint.address), endpoint.failureDomain, endpoint.fencing});
+            this->endpointsByServed[served].push_back(
+                {name, parseHttpAddress(endpoint.address), endpoint.failureDomain, endpoint.fencing, kindOf(endpoint, this->configuration)});
         }
     }
 }
--- a/Services/Router/RoutingSnapshot.h
+++ b/Services/Router/RoutingSnapshot.h
@@ -13,12 +13,18 @@
 namespace Godwitfork
 {
 
+enum class EndpointKind { Engine, PlainService };
+
+/// `PlainService` if the endpoint serves a configured service.
+EndpointKind kindOf(const Endpoint &endpoint, const SiteConfiguration &site);
+
 /// Endpoint with its parsed address.
 struct EndpointTarget {
     std::string name;
     HttpAddress address;
     std::string failureDomain;
     FencingSupport fencing = FencingSupport::Ignored;
+    EndpointKind kind = EndpointKind::Engine;
 
     auto operator<=>(const EndpointTarget &) const = default;
 };
--- a/Tests/Integration/Deployment.cpp
+++ b/Tests/Integration/Deployment.cpp
@@ -75,7 +75,7 @@
     writeFile(file,
               "instance: " + instance + "\nsite: " + siteName + "\nfailure_domain: domain-" + std::to_string(this->routers.size() + 1)
                   + "\nlisten: 127.0.0.1:0\nstore: " + toText(this->storeProcess->address()) + "\nsession_key_file: " + this->folder
-                  + "/session.key\nbalancer_delay_ms: 50\n" + extraSettings);
+                  + "/session.key\nbalancer_delay_ms: 50\npeer_listen: 127.0.0.1:0\npeer_key_file: " + this->folder + "/peer.key\n" + extraSettings);
     this->routers.push_back(std::make_unique<ChildProcess>("godwitfork-router", std::vector<std::string> {"--settings", file}));
     return *this->routers.back();
 }
