--- a/Utilities/Demo/main.cpp
+++ b/Utilities/Demo/main.cpp
@@ -1,6 +1,8 @@
 #include "DemoRun.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <tclap/CmdLine.h>
 
 #include <algorithm>
@@ -15,6 +17,9 @@
 
 namespace
 {
+constexpr Duration settleLimit = std::chrono::seconds(15);
+constexpr Duration settlePause = std::chrono::milliseconds(500);
+
 struct AccountSummary {
     int requests = 0;
     int answered = 0;
@@ -117,13 +122,12 @@
     }
 }
 
-/// Reports disagreements on standard output and returns their number.
-std::size_t check(const std::vector<DemoResult> &results, const DemoEvidence &evidence)
+/// Disagreements between what callers saw, what ran and what is billed; empty if there are none.
+std::vector<std::string> findDisagreements(const std::vector<DemoResult> &results, const DemoEvidence &evidence)
 {
-    std::size_t faults = 0;
+    std::vector<std::string> found;
     for (const Violation &violation : findViolations(chatCheck(results, evidence))) {
-        std::cout << "disagreement: " << violation.rule << " " << violation.requestId << ": " << violation.message << "\n";
-        ++faults;
+        found.push_back(violation.rule + " " + violation.requestId + ": " + violation.message);
     }
     std::set<std::string> billedOrders;
     for (const LedgerRecord &record : evidence.ledger) {
@@ -132,8 +136,7 @@
         }
     }
     if (billedOrders.size() != std::set<std::string>(evidence.orders.begin(), evidence.orders.end()).size()) {
-        std::cout << "disagreement: " << billedOrders.size() << " orders are billed, " << evidence.orders.size() << " ran\n";
-        ++faults;
+        found.push_back(std::to_string(billedOrders.size()) + " orders are billed, " + std::to_string(evidence.orders.size()) + " ran");
     }
     std::map<std::string, std::size_t> runs;
     for (const std::string &key : evidence.orders) {
@@ -147,11 +150,26 @@
         const std::string &key = result.request.idempotencyKey;
         const bool sameAnswer = answers.emplace(key, result.answer).first->second == result.answer;
         if (result.status != 200 || runs[key] != 1 || !sameAnswer) {
-            std::cout << "disagreement: order " << key << ": status " << result.status << ", runs " << runs[key] << "\n";
-            ++faults;
+            found.push_back("order " + key + ": status " + std::to_string(result.status) + ", runs " + std::to_string(runs[key]));
         }
     }
-    return faults;
+    return found;
+}
+
+/// Reads the evidence until it agrees with the results. Records are durable at journal keepers before they are in the store, so
+/// the ledger may lag by the flush interval of 5 s.
+boost::asio::awaitable<ErrorOr<DemoEvidence>> readSettledEvidence(HttpClient &client, const DemoTargets &targets, const std::vector<DemoResult> &results)
+{
+    const MonotonicTime deadline = monotonicNow() + settleLimit;
+    while (true) {
+        auto evidence = co_await readEvidence(client, targets);
+        const bool settled = evidence && findDisagreements(results, evidence.value()).empty();
+        if (settled || monotonicNow() > deadline) {
+            co_return evidence;
+        }
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, settlePause);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
 }
 
 HttpAddress readAddress(const std::string &text)
@@ -183,7 +201,7 @@
         context,
         [&]() -> boost::asio::awaitable<void> {
             results = co_await sendAll(client, targets, demoWorkload());
-            evidence = co_await readEvidence(client, targets);
+            evidence = co_await readSettledEvidence(client, targets, results);
         },
         [](std::exception_ptr error) {
             if (error) {
@@ -196,9 +214,12 @@
         return 1;
     }
     printSummary(summarise(results, evidence.value()));
-    const std::size_t faults = check(results, evidence.value());
-    std::cout << (faults == 0 ? "the ledger agrees with the engines and the service\n" : "the ledger does not agree\n");
-    return faults == 0 ? 0 : 1;
+    const std::vector<std::string> disagreements = findDisagreements(results, evidence.value());
+    for (const std::string &disagreement : disagreements) {
+        std::cout << "disagreement: " << disagreement << "\n";
+    }
+    std::cout << (disagreements.empty() ? "the ledger agrees with the engines and the service\n" : "the ledger does not agree\n");
+    return disagreements.empty() ? 0 : 1;
 }
 } // namespace
 
