Show all members in the administration status; remove what stood twice

Cause: the status named only the instance that was asked although gossip knows which members hold its revision. The name of a log level stood in two sources. The tests left their temporary folders behind and used tmpnam, at which the linker warned.

Ruled out: dividing rate limits by the number of members, because members do not say which site they serve.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -40,8 +40,9 @@
     }
     return spdlog::level::info;
 }
+} // namespace
 
-const char *levelName(LogLevel level)
+const char *logLevelName(LogLevel level)
 {
     switch (level) {
     case LogLevel::Debug:
@@ -55,7 +56,6 @@
     }
     return "info";
 }
-} // namespace
 
 void startLog(std::string process, std::string instance, LogLevel level)
 {
@@ -76,7 +76,7 @@
     }
     nlohmann::ordered_json line;
     line["time"] = wallNow().time_since_epoch().count();
-    line["level"] = levelName(level);
+    line["level"] = logLevelName(level);
     line["process"] = state.process;
     line["instance"] = state.instance;
     line["event"] = event;
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -10,6 +10,9 @@
 
 enum class LogLevel { Debug, Info, Warning, Error };
 
+/// Name of a level in settings and log lines.
+const char *logLevelName(LogLevel level);
+
 /// Starts the JSON-line log of this process on standard output. `process` is the binary's name, `instance` the
 /// instance's name; both stand in every line, so that the time line can tell processes apart.
 void startLog(std::string process, std::string instance, LogLevel level);
--- a/Services/Router/AdministrationListener.cpp
+++ b/Services/Router/AdministrationListener.cpp
@@ -56,8 +56,7 @@
     AdministrationContext context;
     context.objects = objectsOf(this->control.objectStore(), this->control.executionContext());
     context.operatorKeyHashes = [this] { return this->operatorKeyHashes(); };
-    // FIXME: Add the other members' revisions once LibMembership gossips them; until then a client asks every instance.
-    context.instances = [this] { return std::vector<InstanceState> {this->ownState()}; };
+    context.instances = [this] { return this->instanceStates(); };
     context.now = wallNow;
     return context;
 }
@@ -73,6 +72,31 @@
     return hashes;
 }
 
+// Gossip tells which members hold the own revision, not which one the others hold, so those are shown with revision 0.
+std::vector<InstanceState> AdministrationListener::instanceStates() const
+{
+    std::vector<InstanceState> states {this->ownState()};
+    if (this->control.peers() == nullptr) {
+        return states;
+    }
+    const MonotonicTime now = monotonicNow();
+    const MemberTable &members = this->control.peers()->members();
+    const std::set<std::string> holders = members.holderNames();
+    for (const PeerMember &member : members.members()) {
+        if (member.incarnation == this->control.incarnation()) {
+            continue;
+        }
+        InstanceState state;
+        state.instance = member.instance;
+        state.incarnation = member.incarnation;
+        state.failureDomain = member.failureDomain;
+        state.revision = holders.contains(member.incarnation) ? states.front().revision : 0;
+        state.isReady = state.revision > 0 && members.stateOf(member.incarnation, now) == MemberState::Alive;
+        states.push_back(state);
+    }
+    return states;
+}
+
 InstanceState AdministrationListener::ownState() const
 {
     InstanceState state;
--- a/Services/Router/AdministrationListener.h
+++ b/Services/Router/AdministrationListener.h
@@ -25,6 +25,8 @@
     AdministrationContext makeContext();
     std::vector<std::string> operatorKeyHashes() const;
     InstanceState ownState() const;
+    /// Own state, then the other members as gossip shows them.
+    std::vector<InstanceState> instanceStates() const;
 
     const RouterSettings &settings;
     ControlPlane &control;
--- a/Services/Router/RouterSettings.cpp
+++ b/Services/Router/RouterSettings.cpp
@@ -86,21 +86,6 @@
     return LogLevel::Info;
 }
 
-const char *logLevelName(LogLevel level)
-{
-    switch (level) {
-    case LogLevel::Debug:
-        return "debug";
-    case LogLevel::Info:
-        return "info";
-    case LogLevel::Warning:
-        return "warning";
-    case LogLevel::Error:
-        return "error";
-    }
-    return "info";
-}
-
 std::string joined(const std::vector<std::string> &texts)
 {
     std::string joined;
--- a/Tests/Integration/Deployment.cpp
+++ b/Tests/Integration/Deployment.cpp
@@ -38,6 +38,12 @@
     this->site().operatorKeyHashes.push_back(sha256Hex("operator-key"));
 }
 
+Deployment::~Deployment()
+{
+    boost::system::error_code ignored;
+    boost::filesystem::remove_all(this->folder, ignored);
+}
+
 ChildProcess &Deployment::addEngine(const std::string &name, const std::vector<std::string> &serves, std::vector<std::string> options)
 {
     options.insert(options.end(), {"--name", name});
--- a/Tests/Integration/Deployment.h
+++ b/Tests/Integration/Deployment.h
@@ -19,6 +19,9 @@
 {
 public:
     Deployment();
+    ~Deployment();
+    Deployment(const Deployment &) = delete;
+    Deployment &operator=(const Deployment &) = delete;
 
     /// Starts an engine that serves the given `model:version` names and adds it to the configuration as an endpoint.
     ChildProcess &addEngine(const std::string &name, const std::vector<std::string> &serves, std::vector<std::string> options = {});
--- a/Tests/Integration/TestAdministration.cpp
+++ b/Tests/Integration/TestAdministration.cpp
@@ -1,6 +1,7 @@
 #include "Deployment.h"
 #include "LibCore/Digest.h"
 
+#include <boost/filesystem.hpp>
 #include <catch2/catch.hpp>
 
 #include <array>
@@ -65,7 +66,7 @@
 
     CommandResult control(const std::string &arguments)
     {
-        const std::string keyFile = std::string(std::tmpnam(nullptr));
+        const std::string keyFile = (boost::filesystem::temp_directory_path() / boost::filesystem::unique_path("godwitfork-key-%%%%%%%%")).string();
         std::ofstream(keyFile) << operatorKey << "\n";
         std::string command = std::string(std::getenv("GODWITFORK_BIN")) + "/godwitforkctl " + arguments + " --key-file " + keyFile;
         for (const HttpAddress &server : this->servers) {
