--- /dev/null
+++ b/Libraries/LibGateway/AttemptRules.cpp
@@ -0,0 +1,140 @@
+#include "LibGateway/AttemptRules.h"
+
+namespace Godwitfork
+{
+
+namespace
+{
+/// Below this an attempt could not be answered: a connection, the request and the answer cross the network.
+constexpr Duration minAttemptTime = std::chrono::milliseconds(20);
+/// Part of the remaining time that an attempt may take if another one can follow.
+constexpr double firstAttemptShare = 0.6;
+
+constexpr int minServerErrorStatus = 500;
+
+bool isServerError(const AnswerFacts &answer)
+{
+    return answer.status >= minServerErrorStatus;
+}
+
+bool mayRunAgain(const RequestProgress &progress)
+{
+    return progress.possibleRuns == 0 || (mayRepeat(progress.repeatRule) && progress.possibleRuns < progress.maxAttempts);
+}
+
+bool canRetry(const RequestProgress &progress, const RetryMeans &means)
+{
+    return mayRunAgain(progress) && means.hasEndpoint && means.hasBudget && means.remaining >= minAttemptTime;
+}
+} // namespace
+
+const char *attemptEndName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return "answered";
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::Lost:
+        return "lost";
+    case AttemptEnd::TimedOut:
+        return "timed_out";
+    }
+    return "lost";
+}
+
+const char *nextStepName(NextStep step)
+{
+    switch (step) {
+    case NextStep::Deliver:
+        return "deliver";
+    case NextStep::TryAnother:
+        return "retry";
+    case NextStep::RefuseNotRun:
+        return "refuse";
+    case NextStep::Fail:
+        return "fail";
+    case NextStep::FailLate:
+        return "fail_late";
+    }
+    return "fail";
+}
+
+bool mayHaveRun(const AttemptOutcome &outcome)
+{
+    switch (outcome.end) {
+    case AttemptEnd::NotSent:
+        return false;
+    case AttemptEnd::Answered:
+        return !outcome.answer.notRun;
+    case AttemptEnd::Lost:
+    case AttemptEnd::TimedOut:
+        return true;
+    }
+    return true;
+}
+
+bool isSuccess(const AnswerFacts &answer)
+{
+    return answer.status >= 200 && answer.status < 300 && answer.isSigned;
+}
+
+RequestProgress recordAttempt(RequestProgress progress, const AttemptOutcome &outcome)
+{
+    if (outcome.end != AttemptEnd::NotSent) {
+        ++progress.arrivals;
+    }
+    if (mayHaveRun(outcome)) {
+        ++progress.possibleRuns;
+    }
+    return progress;
+}
+
+NextStep nextStep(const RequestProgress &progress, const AttemptOutcome &outcome, const RetryMeans &means)
+{
+    const bool isAnswer = outcome.end == AttemptEnd::Answered && !outcome.answer.notRun;
+    // A success without a signature is not the endpoint's answer; an error of the endpoint may be one that a second run avoids.
+    const bool isFinal = isAnswer && (isSuccess(outcome.answer) || (outcome.answer.status >= 300 && !isServerError(outcome.answer)));
+    if (isFinal) {
+        return NextStep::Deliver;
+    }
+    if (canRetry(progress, means)) {
+        return NextStep::TryAnother;
+    }
+    if (isAnswer && isServerError(outcome.answer)) {
+        return NextStep::Deliver;
+    }
+    if (means.remaining < minAttemptTime) {
+        return progress.possibleRuns == 0 ? NextStep::RefuseNotRun : NextStep::FailLate;
+    }
+    return progress.possibleRuns == 0 ? NextStep::RefuseNotRun : NextStep::Fail;
+}
+
+bool mayResume(const RequestProgress &progress, const RetryMeans &means)
+{
+    return progress.repeatRule == RepeatRule::ResumableStream && canRetry(progress, means);
+}
+
+Duration attemptTimeLimit(const RequestProgress &progress, Duration remaining)
+{
+    const bool canFollow = progress.repeatRule == RepeatRule::Idempotent && progress.possibleRuns + 1 < progress.maxAttempts;
+    return canFollow ? std::chrono::duration_cast<Duration>(remaining * firstAttemptShare) : remaining;
+}
+
+int stepStatus(NextStep step)
+{
+    switch (step) {
+    case NextStep::RefuseNotRun:
+        return 503;
+    case NextStep::Fail:
+        return 502;
+    case NextStep::FailLate:
+        return 504;
+    case NextStep::Deliver:
+    case NextStep::TryAnother:
+        return 0;
+    }
+    return 0;
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibGateway/Catalog.cpp
@@ -0,0 +1,49 @@
+#include "LibGateway/Catalog.h"
+
+namespace Godwitfork
+{
+
+const char *rolloutStateName(RolloutState state)
+{
+    switch (state) {
+    case RolloutState::Ordered:
+        return "ordered";
+    case RolloutState::InProgress:
+        return "in_progress";
+    case RolloutState::Completed:
+        return "completed";
+    case RolloutState::Reverted:
+        return "reverted";
+    }
+    return "ordered";
+}
+
+const char *catalogKindName(CatalogKind kind)
+{
+    switch (kind) {
+    case CatalogKind::Configuration:
+        return "configuration";
+    case CatalogKind::Endpoints:
+        return "endpoints";
+    case CatalogKind::Rollouts:
+        return "rollouts";
+    }
+    return "configuration";
+}
+
+const char *catalogFailureName(CatalogFailure failure)
+{
+    switch (failure) {
+    case CatalogFailure::Unavailable:
+        return "unavailable";
+    case CatalogFailure::HistoryLost:
+        return "history_lost";
+    case CatalogFailure::Conflict:
+        return "conflict";
+    case CatalogFailure::Rejected:
+        return "rejected";
+    }
+    return "unavailable";
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -0,0 +1,177 @@
+#include "LibGateway/EndpointChooser.h"
+
+#include "LibCore/Digest.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Godwitfork
+{
+
+namespace
+{
+/// Part of a prompt's reading time that counts as saved at the home of its leading parts, since later requests find them there.
+constexpr double homeShare = 0.6;
+/// Leading parts below this are read faster than a detour pays for.
+constexpr std::int64_t minAffinityTokens = 1024;
+/// Share of the engine's memory that cached parts are assumed to keep; running requests use the rest.
+constexpr double cacheShare = 0.7;
+/// Weight of an endpoint's failure share against its expected time.
+constexpr double failureWeight = 4;
+/// Added to the expected time in another failure domain, so that equal endpoints nearby go first.
+constexpr Duration remoteTime = std::chrono::milliseconds(5);
+/// Expected slowdown by each request that runs beside.
+constexpr double slowdownPerRequest = 0.02;
+/// Expected time of one request at a plain service, before its slowness.
+constexpr Duration plainServiceTime = std::chrono::milliseconds(60);
+/// Scores within this share count as equal, so that instances with the same view do not all pick one endpoint.
+constexpr double scoreJitter = 0.1;
+
+/// The leading part of a prompt that other requests share; the last part is the request's own.
+std::optional<std::uint64_t> sharedKey(const ChoiceQuery &query, const std::vector<std::uint64_t> &chain)
+{
+    if (chain.size() < 2) {
+        return std::nullopt;
+    }
+    std::int64_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < query.parts.size(); ++i) {
+        tokens += query.parts[i].tokens;
+    }
+    return tokens < minAffinityTokens ? std::nullopt : std::optional(chain[chain.size() - 2]);
+}
+
+std::string homeOf(const std::vector<const EndpointEntry *> &candidates, std::uint64_t key)
+{
+    const std::string keyText = std::to_string(key);
+    std::uint64_t best = 0;
+    std::string home;
+    for (const EndpointEntry *candidate : candidates) {
+        const std::uint64_t score = rendezvousScore(keyText, candidate->id);
+        if (home.empty() || score > best) {
+            best = score;
+            home = candidate->id;
+        }
+    }
+    return home;
+}
+
+Duration scaled(Duration time, double factor)
+{
+    return std::chrono::duration_cast<Duration>(time * factor);
+}
+} // namespace
+
+EndpointChooser::EndpointChooser(std::string ownFailureDomain) : ownFailureDomain(std::move(ownFailureDomain))
+{
+}
+
+EndpointChoice EndpointChooser::predict(const EndpointEntry &endpoint, const ChoiceQuery &query, const std::vector<std::uint64_t> &chain) const
+{
+    const EndpointLoad &load = this->endpointLoads.find(endpoint.id);
+    EndpointChoice choice;
+    choice.endpoint = endpoint;
+    if (query.model.empty()) {
+        const int slots = std::max(1, endpoint.slots);
+        const double waves = 1 + static_cast<double>(load.running + load.peerRunning) / slots;
+        choice.promptTime = scaled(plainServiceTime, load.slowness);
+        choice.firstOutput = scaled(choice.promptTime, waves);
+        return choice;
+    }
+    std::int64_t cached = 0;
+    if (const auto cache = this->caches.find(endpoint.id); cache != this->caches.end()) {
+        cached = cache->second.cachedTokens(chain, query.parts);
+    }
+    choice.uncachedTokens = std::max<std::int64_t>(0, query.promptTokens - cached);
+    const double slowdown = load.slowness * (1 + slowdownPerRequest * (load.running + load.peerRunning));
+    choice.promptTime = this->engineSpeeds.promptTime(query.service, query.model, choice.uncachedTokens);
+    choice.firstOutput = scaled(choice.promptTime + load.pendingPrompts + load.peerPendingPrompts, slowdown);
+    return choice;
+}
+
+std::optional<EndpointChoice>
+EndpointChooser::choose(const std::vector<const EndpointEntry *> &candidates, const ChoiceQuery &query, MonotonicTime now, RandomSource &random) const
+{
+    const std::vector<std::uint64_t> chain = promptChain(query.model, query.parts);
+    const std::optional<std::uint64_t> key = query.model.empty() ? std::nullopt : sharedKey(query, chain);
+    const std::string home = key ? homeOf(candidates, *key) : std::string();
+    std::uniform_real_distribution<double> jitter(1, 1 + scoreJitter);
+    std::optional<EndpointChoice> best;
+    double bestScore = std::numeric_limits<double>::max();
+    for (const EndpointEntry *candidate : candidates) {
+        if (query.excluded.contains(candidate->id)) {
+            continue;
+        }
+        EndpointChoice choice = this->predict(*candidate, query, chain);
+        Duration cost = choice.firstOutput;
+        if (candidate->id == home) {
+            cost -= scaled(choice.promptTime, homeShare);
+        }
+        if (candidate->failureDomain != this->ownFailureDomain) {
+            cost += remoteTime;
+        }
+        const EndpointLoad &load = this->endpointLoads.find(candidate->id);
+        double score = static_cast<double>(cost.count()) * (1 + failureWeight * load.failureShare) * jitter(random);
+        // An avoided endpoint is only used if all are.
+        if (this->endpointLoads.isAvoided(candidate->id, now)) {
+            score += static_cast<double>(Duration(std::chrono::hours(1)).count());
+        }
+        if (score < bestScore) {
+            bestScore = score;
+            best = std::move(choice);
+        }
+    }
+    return best;
+}
+
+LoadTicket EndpointChooser::begin(const ChoiceQuery &query, const EndpointChoice &choice)
+{
+    if (!query.model.empty()) {
+        const auto capacity = static_cast<std::int64_t>(static_cast<double>(query.memoryTokens) * cacheShare);
+        auto cache = this->caches.try_emplace(choice.endpoint.id, capacity).first;
+        cache->second.record(promptChain(query.model, query.parts), query.parts);
+    }
+    return this->endpointLoads.begin(choice.endpoint, choice.promptTime);
+}
+
+void EndpointChooser::firstOutput(LoadTicket &ticket, const ChoiceQuery &query, const EndpointChoice &choice, Duration elapsed)
+{
+    const EndpointLoad &load = this->endpointLoads.find(ticket.endpoint);
+    const bool wasAlone = load.pendingPrompts <= ticket.expectedPrompt && load.peerPendingPrompts == Duration::zero();
+    if (!query.model.empty() && wasAlone) {
+        this->engineSpeeds.recordPrompt(query.service, query.model, choice.uncachedTokens, elapsed);
+    }
+    this->endpointLoads.firstOutput(ticket, elapsed, choice.firstOutput);
+}
+
+void EndpointChooser::end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now)
+{
+    this->endpointLoads.end(ticket, result, now);
+}
+
+void EndpointChooser::forget(const std::string &endpoint)
+{
+    this->endpointLoads.forget(endpoint);
+    this->caches.erase(endpoint);
+}
+
+EngineSpeeds &EndpointChooser::speeds()
+{
+    return this->engineSpeeds;
+}
+
+const EngineSpeeds &EndpointChooser::speeds() const
+{
+    return this->engineSpeeds;
+}
+
+EndpointLoads &EndpointChooser::loads()
+{
+    return this->endpointLoads;
+}
+
+const EndpointLoads &EndpointChooser::loads() const
+{
+    return this->endpointLoads;
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibGateway/EndpointChooser.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "LibCore/Random.h"
+#include "LibGateway/EndpointLoads.h"
+#include "LibGateway/EngineSpeeds.h"
+#include "LibGateway/GatewayRequest.h"
+#include "LibGateway/PromptCacheView.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Godwitfork
+{
+
+/// One request at one model, or at a plain service if `model` is empty.
+struct ChoiceQuery {
+    std::string service;
+    std::string model;
+    std::int64_t promptTokens = 0;
+    std::vector<PromptPart> parts;
+    /// Memory of one engine, in tokens.
+    std::int64_t memoryTokens = 0;
+    /// Endpoints that this request has tried.
+    std::set<std::string> excluded;
+};
+
+struct EndpointChoice {
+    EndpointEntry endpoint;
+    /// Expected time of the request's own prompt there.
+    Duration promptTime = Duration::zero();
+    /// Expected time until the first output, with the prompts that wait before it.
+    Duration firstOutput = Duration::zero();
+    std::int64_t uncachedTokens = 0;
+};
+
+/// Chooses endpoints by the expected time to the first output and by where the leading parts of the prompt are cached.
+/// Instances agree on the home of a prompt part without messages, by rendezvous hash over the endpoints' ids.
+class EndpointChooser
+{
+public:
+    explicit EndpointChooser(std::string ownFailureDomain);
+
+    /// The best of the candidates; empty if all are excluded or none is given.
+    std::optional<EndpointChoice>
+    choose(const std::vector<const EndpointEntry *> &candidates, const ChoiceQuery &query, MonotonicTime now, RandomSource &random) const;
+
+    /// Records that the request goes to the endpoint.
+    LoadTicket begin(const ChoiceQuery &query, const EndpointChoice &choice);
+    void firstOutput(LoadTicket &ticket, const ChoiceQuery &query, const EndpointChoice &choice, Duration elapsed);
+    void end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now);
+    /// Drops what is known about an endpoint that restarted or left.
+    void forget(const std::string &endpoint);
+
+    EngineSpeeds &speeds();
+    const EngineSpeeds &speeds() const;
+    EndpointLoads &loads();
+    const EndpointLoads &loads() const;
+
+private:
+    EndpointChoice predict(const EndpointEntry &endpoint, const ChoiceQuery &query, const std::vector<std::uint64_t> &chain) const;
+
+    std::string ownFailureDomain;
+    EndpointLoads endpointLoads;
+    EngineSpeeds engineSpeeds;
+    std::map<std::string, PromptCacheView> caches;
+};
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibGateway/EndpointRegistry.cpp
@@ -0,0 +1,161 @@
+#include "LibGateway/EndpointRegistry.h"
+
+#include <set>
+
+namespace Godwitfork
+{
+
+const char *endpointChangeName(EndpointChangeKind kind)
+{
+    switch (kind) {
+    case EndpointChangeKind::Added:
+        return "added";
+    case EndpointChangeKind::Restarted:
+        return "restarted";
+    case EndpointChangeKind::Draining:
+        return "draining";
+    case EndpointChangeKind::Changed:
+        return "changed";
+    case EndpointChangeKind::Removed:
+        return "removed";
+    case EndpointChangeKind::Held:
+        return "held";
+    }
+    return "changed";
+}
+
+EndpointRegistry::EndpointRegistry(Duration returnTime) : returnTime(returnTime)
+{
+}
+
+std::vector<EndpointChange> EndpointRegistry::replaceAll(const std::vector<EndpointEntry> &entries, SnapshotTrust trust, MonotonicTime now)
+{
+    std::vector<EndpointChange> changes;
+    std::set<std::string> present;
+    for (const EndpointEntry &entry : entries) {
+        present.insert(entry.id);
+        for (EndpointChange &change : this->put(entry)) {
+            changes.push_back(std::move(change));
+        }
+    }
+    for (auto position = this->registrations.begin(); position != this->registrations.end();) {
+        Registration &registration = position->second;
+        if (present.contains(position->first)) {
+            ++position;
+            continue;
+        }
+        if (this->hold(registration, trust, now, changes)) {
+            ++position;
+            continue;
+        }
+        changes.push_back({EndpointChangeKind::Removed, registration.entry});
+        position = this->registrations.erase(position);
+    }
+    return changes;
+}
+
+std::vector<EndpointChange> EndpointRegistry::put(const EndpointEntry &entry)
+{
+    const auto known = this->registrations.find(entry.id);
+    if (known == this->registrations.end()) {
+        this->registrations.emplace(entry.id, Registration {entry, std::nullopt});
+        return {{EndpointChangeKind::Added, entry}};
+    }
+    Registration &registration = known->second;
+    registration.removeAt.reset();
+    if (registration.entry == entry) {
+        return {};
+    }
+    EndpointChangeKind kind = EndpointChangeKind::Changed;
+    if (registration.entry.incarnation != entry.incarnation || registration.entry.address != entry.address) {
+        kind = EndpointChangeKind::Restarted;
+    } else if (registration.entry.state != entry.state && entry.state == EndpointState::Draining) {
+        kind = EndpointChangeKind::Draining;
+    }
+    registration.entry = entry;
+    return {{kind, entry}};
+}
+
+// An endpoint that was leaving has left; only one that was ready may have lost its registration in the outage.
+bool EndpointRegistry::hold(Registration &registration, SnapshotTrust trust, MonotonicTime now, std::vector<EndpointChange> &changes) const
+{
+    if (trust == SnapshotTrust::Complete || registration.entry.state != EndpointState::Ready) {
+        return false;
+    }
+    if (!registration.removeAt) {
+        registration.removeAt = now + this->returnTime;
+        changes.push_back({EndpointChangeKind::Held, registration.entry});
+    }
+    return true;
+}
+
+std::vector<EndpointChange> EndpointRegistry::remove(const std::string &id, SnapshotTrust trust, MonotonicTime now)
+{
+    std::vector<EndpointChange> changes;
+    const auto known = this->registrations.find(id);
+    if (known == this->registrations.end() || this->hold(known->second, trust, now, changes)) {
+        return changes;
+    }
+    changes.push_back({EndpointChangeKind::Removed, known->second.entry});
+    this->registrations.erase(known);
+    return changes;
+}
+
+std::vector<EndpointChange> EndpointRegistry::markLeaving(const std::string &id, std::int64_t incarnation)
+{
+    const auto known = this->registrations.find(id);
+    if (known == this->registrations.end() || known->second.entry.incarnation != incarnation || known->second.entry.state == EndpointState::Draining) {
+        return {};
+    }
+    known->second.entry.state = EndpointState::Draining;
+    return {{EndpointChangeKind::Draining, known->second.entry}};
+}
+
+std::vector<const EndpointEntry *> EndpointRegistry::draining() const
+{
+    std::vector<const EndpointEntry *> endpoints;
+    for (const auto &[id, registration] : this->registrations) {
+        if (registration.entry.state == EndpointState::Draining) {
+            endpoints.push_back(&registration.entry);
+        }
+    }
+    return endpoints;
+}
+
+std::vector<EndpointChange> EndpointRegistry::expire(MonotonicTime now)
+{
+    std::vector<EndpointChange> changes;
+    for (auto position = this->registrations.begin(); position != this->registrations.end();) {
+        if (position->second.removeAt && *position->second.removeAt <= now) {
+            changes.push_back({EndpointChangeKind::Removed, position->second.entry});
+            position = this->registrations.erase(position);
+        } else {
+            ++position;
+        }
+    }
+    return changes;
+}
+
+const EndpointEntry *EndpointRegistry::find(const std::string &id) const
+{
+    const auto known = this->registrations.find(id);
+    return known == this->registrations.end() ? nullptr : &known->second.entry;
+}
+
+std::vector<const EndpointEntry *> EndpointRegistry::ready(const std::string &service) const
+{
+    std::vector<const EndpointEntry *> endpoints;
+    for (const auto &[id, registration] : this->registrations) {
+        if (registration.entry.service == service && registration.entry.state == EndpointState::Ready) {
+            endpoints.push_back(&registration.entry);
+        }
+    }
+    return endpoints;
+}
+
+std::size_t EndpointRegistry::size() const
+{
+    return this->registrations.size();
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibGateway/EngineSpeeds.cpp
@@ -0,0 +1,58 @@
+#include "LibGateway/EngineSpeeds.h"
+
+#include <algorithm>
+
+namespace Godwitfork
+{
+
+namespace
+{
+/// Assumed before the first observation: a large model on one accelerator reads some 25 tokens in a millisecond.
+constexpr double assumedMicrosecondsPerToken = 40;
+/// Time until the first output of a prompt that is cached completely.
+constexpr Duration baseTime = std::chrono::milliseconds(25);
+/// Shorter prompts tell more about the base time than about the speed.
+constexpr std::int64_t minSampleTokens = 512;
+/// Observations that the moving mean goes back.
+constexpr int maxSamples = 10;
+/// Assumed before the first observation of a stream.
+constexpr double assumedMicrosecondsPerOutput = 8000;
+constexpr std::int64_t minSampleOutputs = 8;
+} // namespace
+
+Duration EngineSpeeds::promptTime(const std::string &service, const std::string &model, std::int64_t tokens) const
+{
+    const auto known = this->prompts.find({service, model});
+    const double perToken = known == this->prompts.end() ? assumedMicrosecondsPerToken : known->second.microsecondsPerToken;
+    return baseTime + Duration(static_cast<std::int64_t>(perToken * static_cast<double>(tokens)));
+}
+
+void EngineSpeeds::recordPrompt(const std::string &service, const std::string &model, std::int64_t tokens, Duration elapsed)
+{
+    if (tokens < minSampleTokens || elapsed <= baseTime) {
+        return;
+    }
+    Speed &speed = this->prompts[{service, model}];
+    speed.samples = std::min(speed.samples + 1, maxSamples);
+    const double observed = static_cast<double>((elapsed - baseTime).count()) / static_cast<double>(tokens);
+    speed.microsecondsPerToken += (observed - speed.microsecondsPerToken) / speed.samples;
+}
+
+Duration EngineSpeeds::outputTime(const std::string &service, const std::string &model, std::int64_t tokens) const
+{
+    const auto known = this->outputs.find({service, model});
+    const double perToken = known == this->outputs.end() ? assumedMicrosecondsPerOutput : known->second.microsecondsPerToken;
+    return Duration(static_cast<std::int64_t>(perToken * static_cast<double>(tokens)));
+}
+
+void EngineSpeeds::recordOutput(const std::string &service, const std::string &model, std::int64_t tokens, Duration elapsed)
+{
+    if (tokens < minSampleOutputs) {
+        return;
+    }
+    Speed &speed = this->outputs[{service, model}];
+    speed.samples = std::min(speed.samples + 1, maxSamples);
+    speed.microsecondsPerToken += (static_cast<double>(elapsed.count()) / static_cast<double>(tokens) - speed.microsecondsPerToken) / speed.samples;
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibGateway/EngineSpeeds.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "LibCore/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace Godwitfork
+{
+
+/// How fast the engines of a service read prompts and generate tokens, for each model, learned from answers.
+class EngineSpeeds
+{
+public:
+    /// Expected time until the first output of a prompt on an idle engine.
+    Duration promptTime(const std::string &service, const std::string &model, std::int64_t tokens) const;
+    /// Adds the time that an engine without other waiting prompts took.
+    void recordPrompt(const std::string &service, const std::string &model, std::int64_t tokens, Duration elapsed);
+
+    /// Expected time of generated tokens, at the load of late.
+    Duration outputTime(const std::string &service, const std::string &model, std::int64_t tokens) const;
+    void recordOutput(const std::string &service, const std::string &model, std::int64_t tokens, Duration elapsed);
+
+private:
+    struct Speed {
+        double microsecondsPerToken = 0;
+        int samples = 0;
+    };
+
+    std::map<std::pair<std::string, std::string>, Speed> prompts;
+    std::map<std::pair<std::string, std::string>, Speed> outputs;
+};
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibGateway/ModelLadder.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "LibCore/Time.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Godwitfork
+{
+
+/// Probability that an answer is good enough, from the confidence between 0 and 100 that its model reports.
+double acceptability(int confidence);
+
+/// How many of a model's answers are good enough, learned from the confidence that it reports.
+class ConfidenceEstimates
+{
+public:
+    void record(const std::string &service, const std::string &model, int confidence);
+    /// `assumed` is used before the first report.
+    double quality(const std::string &service, const std::string &model, double assumed) const;
+
+private:
+    struct Estimate {
+        double mean = 0;
+        int samples = 0;
+    };
+
+    std::map<std::pair<std::string, std::string>, Estimate> estimates;
+};
+
+/// One model that a request could run on, as seen now.
+struct ModelOption {
+    /// Share of its answers that are good enough.
+    double quality = 1;
+    /// Price relative to the dearest model of the route.
+    double relativeCost = 1;
+    Duration firstOutput = Duration::zero();
+    Duration lastOutput = Duration::zero();
+};
+
+struct LadderTimes {
+    /// Time left until the first output is late.
+    Duration untilObjective = Duration::zero();
+    /// Time left until the final answer is due.
+    Duration remaining = Duration::zero();
+};
+
+/// Model to start with: the smallest one that is expected to finish in time; the others are reached by escalation. 0 if none
+/// is expected to finish.
+std::size_t firstModel(const std::vector<ModelOption> &options, const LadderTimes &times);
+
+/// Model to which an answer that has not reached the caller is escalated; empty to deliver the answer. `options` holds the
+/// route's models, smallest first, with the times that an escalation would take from now on.
+std::optional<std::size_t> escalation(const std::vector<ModelOption> &options, std::size_t current, int confidence, const LadderTimes &times);
+
+} // namespace Godwitfork
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,12 +1,16 @@
 #include "LibHttp/HttpClient.h"
 
+#include <boost/asio/detail/socket_option.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <limits>
 #include <map>
 #include <optional>
@@ -27,10 +31,29 @@
 constexpr std::size_t maxIdleConnectionsPerAddress = 256;
 /// Below the server's idle limit of 75 s, so that a pooled connection is not one that the server is about to close.
 constexpr Duration maxIdleAge = std::chrono::seconds(20);
+/// Subtracted from the idle limit that a peer announces, since its clock started earlier than ours.
+constexpr Duration idleLimitMargin = std::chrono::seconds(1);
+/// Answers to earlier requests that are skipped before the connection counts as out of step.
+constexpr int maxSkippedAnswers = 2;
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+
+using UserTimeout = Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using KeepAliveIdle = Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepAliveInterval = Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepAliveCount = Asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using SharedStream = std::shared_ptr<Beast::tcp_stream>;
 
 struct IdleConnection {
-    std::unique_ptr<Beast::tcp_stream> stream;
-    MonotonicTime since;
+    SharedStream stream;
+    MonotonicTime expires;
+};
+
+/// A request on its way. It outlives the call, since a peer may answer before it has read everything.
+struct OutgoingRequest {
+    Http::request<Http::string_body> message;
+    bool written = false;
 };
 } // namespace
 
@@ -39,20 +62,20 @@
     {
     }
 
-    std::unique_ptr<Beast::tcp_stream> takeIdle(const HttpAddress &address);
-    void giveBack(const HttpAddress &address, std::unique_ptr<Beast::tcp_stream> stream);
+    SharedStream takeIdle(const HttpAddress &address);
+    void giveBack(const HttpAddress &address, SharedStream stream, Duration idleLimit);
 
     Asio::io_context &context;
     std::map<HttpAddress, std::vector<IdleConnection>> idle;
 };
 
-std::unique_ptr<Beast::tcp_stream> HttpClient::State::takeIdle(const HttpAddress &address)
+SharedStream HttpClient::State::takeIdle(const HttpAddress &address)
 {
     std::vector<IdleConnection> &connections = this->idle[address];
     while (!connections.empty()) {
         IdleConnection connection = std::move(connections.back());
         connections.pop_back();
-        if (monotonicNow() - connection.since > maxIdleAge) {
+        if (monotonicNow() > connection.expires) {
             continue;
         }
         // A readable idle connection was closed by its peer or holds bytes that belong to no request.
@@ -67,12 +90,12 @@
     return nullptr;
 }
 
-void HttpClient::State::giveBack(const HttpAddress &address, std::unique_ptr<Beast::tcp_stream> stream)
+void HttpClient::State::giveBack(const HttpAddress &address, SharedStream stream, Duration idleLimit)
 {
     std::vector<IdleConnection> &connections = this->idle[address];
     if (connections.size() < maxIdleConnectionsPerAddress) {
         stream->expires_never();
-        connections.push_back({std::move(stream), monotonicNow()});
+        connections.push_back({std::move(stream), monotonicNow() + idleLimit});
     }
 }
 
@@ -93,20 +116,52 @@
 class PooledResponseStream : public HttpResponseStream
 {
 public:
-    PooledResponseStream(std::shared_ptr<HttpClient::State> state, HttpAddress address, Duration idleTimeout, std::unique_ptr<Beast::tcp_stream> stream)
-        : state(std::move(state)), address(std::move(address)), idleTimeout(idleTimeout), stream(std::move(stream))
+    PooledResponseStream(std::shared_ptr<HttpClient::State> state,
+                         HttpAddress address,
+                         Duration idleTimeout,
+                         SharedStream stream,
+                         std::shared_ptr<OutgoingRequest> request)
+        : state(std::move(state)), address(std::move(address)), idleTimeout(idleTimeout), stream(std::move(stream)), request(std::move(request))
+    {
+        this->startParser();
+    }
+
+    ~PooledResponseStream() override
     {
-        this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        // The writer still holds the connection if the request is not written completely.
+        if (this->stream) {
+            this->stream->close();
+        }
+    }
+
+    // Skips the body of an answer to an earlier request and prepares for the next answer.
+    Asio::awaitable<boost::system::error_code> skipAnswer()
+    {
+        boost::system::error_code error;
+        while (!this->parser->is_done() && !error) {
+            this->parser->get().body().data = this->bytes.data();
+            this->parser->get().body().size = this->bytes.size();
+            co_await Http::async_read_some(*this->stream, this->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
+            if (error == Http::error::need_buffer) {
+                error = {};
+            }
+        }
+        if (!error && !this->parser->keep_alive()) {
+            error = Http::error::end_of_stream;
+        }
+        this->head.clear();
+        this->startParser();
+        co_return error;
     }
 
     Asio::awaitable<boost::system::error_code> readHead()
     {
         boost::system::error_code error;
-        co_await Http::async_read_header(*this->stream, this->buffer, this->parser, Asio::redirect_error(Asio::use_awaitable, error));
+        co_await Http::async_read_header(*this->stream, this->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
         if (error) {
             co_return error;
         }
-        for (const auto &field : this->parser.get()) {
+        for (const auto &field : this->parser->get()) {
             this->head.push_back({std::string(field.name_string()), std::string(field.value())});
         }
         co_return error;
@@ -114,7 +169,7 @@
 
     int status() const override
     {
-        return static_cast<int>(this->parser.get().result_int());
+        return static_cast<int>(this->parser->get().result_int());
     }
 
     const HttpHeaders &headers() const override
@@ -124,54 +179,119 @@
 
     Asio::awaitable<HttpOutcome<std::string>> readSome() override
     {
-        while (!this->parser.is_done()) {
-            this->parser.get().body().data = this->bytes.data();
-            this->parser.get().body().size = this->bytes.size();
+        while (!this->parser->is_done()) {
+            this->parser->get().body().data = this->bytes.data();
+            this->parser->get().body().size = this->bytes.size();
             boost::system::error_code error;
             this->stream->expires_after(this->idleTimeout);
-            co_await Http::async_read_some(*this->stream, this->buffer, this->parser, Asio::redirect_error(Asio::use_awaitable, error));
+            co_await Http::async_read_some(*this->stream, this->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
             if (error && error != Http::error::need_buffer) {
+                this->stream->close();
                 this->stream.reset();
                 co_return makeError(SendPhase::Sent, error);
             }
-            const std::size_t received = this->bytes.size() - this->parser.get().body().size;
+            const std::size_t received = this->bytes.size() - this->parser->get().body().size;
             if (received > 0) {
                 co_return std::string(this->bytes.data(), received);
             }
         }
-        if (this->stream && this->parser.keep_alive() && this->buffer.size() == 0) {
-            this->state->giveBack(this->address, std::move(this->stream));
+        if (this->stream && this->parser->keep_alive() && this->buffer.size() == 0 && this->request->written) {
+            this->state->giveBack(this->address, std::move(this->stream), this->idleLimit());
         }
         co_return std::string {};
     }
 
+    bool isFramed() const override
+    {
+        return this->parser->chunked() || this->parser->content_length();
+    }
+
+    void setIdleTimeout(Duration timeout) override
+    {
+        this->idleTimeout = timeout;
+    }
+
 private:
+    void startParser()
+    {
+        this->parser.emplace();
+        this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    }
+
+    // How long the connection may stay in the pool, from the peer's Keep-Alive header.
+    Duration idleLimit() const
+    {
+        static constexpr std::string_view parameter = "timeout=";
+        const std::string text = headerValue(this->head, "Keep-Alive");
+        const std::size_t position = text.find(parameter);
+        long seconds = 0;
+        if (position == std::string::npos) {
+            return maxIdleAge;
+        }
+        const char *begin = text.data() + position + parameter.size();
+        if (std::from_chars(begin, text.data() + text.size(), seconds).ec != std::errc {}) {
+            return maxIdleAge;
+        }
+        return std::clamp<Duration>(std::chrono::seconds(seconds) - idleLimitMargin, Duration::zero(), maxIdleAge);
+    }
+
     std::shared_ptr<HttpClient::State> state;
     HttpAddress address;
     Duration idleTimeout;
-    std::unique_ptr<Beast::tcp_stream> stream;
+    SharedStream stream;
+    std::shared_ptr<OutgoingRequest> request;
     Beast::flat_buffer buffer;
-    Http::response_parser<Http::buffer_body> parser;
+    std::optional<Http::response_parser<Http::buffer_body>> parser;
     HttpHeaders head;
     std::array<char, readBufferBytes> bytes;
 };
 
+void setSocketOptions(Tcp::socket &socket, Duration unacknowledgedLimit)
+{
+    // A kernel without one of the options only finds dead connections later.
+    boost::system::error_code ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    if (unacknowledgedLimit > Duration::zero()) {
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(unacknowledgedLimit).count();
+        socket.set_option(UserTimeout(static_cast<int>(milliseconds)), ignored);
+        socket.set_option(Asio::socket_base::keep_alive(true), ignored);
+        socket.set_option(KeepAliveIdle(keepAliveIdleSeconds), ignored);
+        socket.set_option(KeepAliveInterval(keepAliveIntervalSeconds), ignored);
+        socket.set_option(KeepAliveCount(keepAliveProbes), ignored);
+    }
+}
+
 Http::request<Http::string_body> makeMessage(const HttpAddress &address, HttpRequest request)
 {
     Http::request<Http::string_body> message;
     message.method_string(request.method);
     message.target(request.target);
     message.version(11);
-    message.set(Http::field::host, toText(address));
     for (const HttpHeader &header : request.headers) {
         message.insert(header.name, header.value);
     }
+    if (message.find(Http::field::host) == message.end()) {
+        message.set(Http::field::host, toText(address));
+    }
     message.body() = std::move(request.body);
     message.prepare_payload();
     return message;
 }
 } // namespace
 
+void HttpCallCanceller::cancel()
+{
+    this->cancelled = true;
+    if (this->closeConnection) {
+        this->closeConnection();
+    }
+}
+
+bool HttpCallCanceller::isCancelled() const
+{
+    return this->cancelled;
+}
+
 HttpClient::HttpClient(Asio::io_context &context) : state(std::make_shared<State>(context))
 {
 }
@@ -182,12 +302,22 @@
 {
     auto state = this->state;
     boost::system::error_code error;
-    std::unique_ptr<Beast::tcp_stream> stream;
+    SharedStream stream;
     if (options.reuse == ConnectionReuse::Allowed) {
         stream = state->takeIdle(address);
     }
-    if (!stream) {
-        stream = std::make_unique<Beast::tcp_stream>(state->context);
+    const bool isNew = !stream;
+    if (isNew) {
+        stream = std::make_shared<Beast::tcp_stream>(state->context);
+    }
+    if (options.canceller) {
+        options.canceller->closeConnection = [weak = std::weak_ptr(stream)] {
+            if (const SharedStream open = weak.lock()) {
+                open->close();
+            }
+        };
+    }
+    if (isNew) {
         stream->expires_after(options.connectTimeout);
         const auto ip = Asio::ip::make_address(address.host, error);
         if (error) {
@@ -197,20 +327,32 @@
         if (error) {
             co_return HttpClientError {SendPhase::NotSent, HttpFailure::Connect, toText(address) + ": " + error.message()};
         }
-        stream->socket().set_option(Tcp::no_delay(true), error);
+        setSocketOptions(stream->socket(), options.unacknowledgedLimit);
+    }
+    if (options.canceller && options.canceller->isCancelled()) {
+        co_return HttpClientError {SendPhase::NotSent, HttpFailure::ConnectionLost, "cancelled"};
     }
 
-    const auto message = makeMessage(address, std::move(request));
+    auto outgoing = std::make_shared<OutgoingRequest>();
+    outgoing->message = makeMessage(address, std::move(request));
     stream->expires_after(options.answerTimeout);
     if (options.mayWrite && !options.mayWrite()) {
         co_return HttpClientError {SendPhase::NotSent, HttpFailure::Withheld, "withheld before the first byte"};
     }
-    co_await Http::async_write(*stream, message, Asio::redirect_error(Asio::use_awaitable, error));
-    if (error) {
-        co_return makeError(SendPhase::Sent, error);
-    }
-    auto response = std::make_unique<PooledResponseStream>(state, address, options.idleTimeout, std::move(stream));
+    // The answer is read while the request is being written: a peer may answer before it has read a long body.
+    Http::async_write(
+        *stream, outgoing->message, [stream, outgoing](const boost::system::error_code &writeError, std::size_t) { outgoing->written = !writeError; });
+    auto response = std::make_unique<PooledResponseStream>(state, address, options.idleTimeout, std::move(stream), outgoing);
     error = co_await response->readHead();
+    for (int skipped = 0; !error && options.isAnswer && !options.isAnswer(response->headers()); ++skipped) {
+        if (skipped == maxSkippedAnswers) {
+            co_return HttpClientError {SendPhase::Sent, HttpFailure::MalformedAnswer, "the answers belong to other requests"};
+        }
+        error = co_await response->skipAnswer();
+        if (!error) {
+            error = co_await response->readHead();
+        }
+    }
     if (error) {
         co_return makeError(SendPhase::Sent, error);
     }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -41,6 +41,21 @@
 
 enum class ConnectionReuse { Allowed, Never };
 
+/// Ends one call from outside, for example because its caller left. To be used on the client's thread.
+class HttpCallCanceller
+{
+public:
+    /// Closes the call's connection; the call ends with `ConnectionLost`, or is not started.
+    void cancel();
+    bool isCancelled() const;
+
+private:
+    friend class HttpClient;
+
+    bool cancelled = false;
+    std::function<void()> closeConnection;
+};
+
 struct HttpCallOptions {
     Duration connectTimeout = std::chrono::seconds(1);
     /// Limit from the request's last byte to the answer's header.
@@ -50,6 +65,12 @@
     ConnectionReuse reuse = ConnectionReuse::Allowed;
     /// Asked on the open connection directly before the request's first byte; false withholds the request.
     std::function<bool()> mayWrite;
+    /// Limit for data that the peer's host does not acknowledge (TCP_USER_TIMEOUT); 0 keeps the system's limit. Connections
+    /// that went silent show up only by it.
+    Duration unacknowledgedLimit = Duration::zero();
+    std::shared_ptr<HttpCallCanceller> canceller;
+    /// Whether an answer belongs to this request; a late answer to an earlier one is skipped. All belong if not set.
+    std::function<bool(const HttpHeaders &)> isAnswer;
 };
 
 /// Answer whose body is read piece by piece. Destroying it before the end closes its connection, which cancels the
@@ -61,6 +82,10 @@
 
     virtual int status() const = 0;
     virtual const HttpHeaders &headers() const = 0;
+    /// Whether the end of the body is marked by its length or by chunks, not by the end of the connection.
+    virtual bool isFramed() const = 0;
+    /// Replaces the limit between two pieces of the body.
+    virtual void setIdleTimeout(Duration timeout) = 0;
     /// Next bytes of the body; empty at its end.
     virtual boost::asio::awaitable<HttpOutcome<std::string>> readSome() = 0;
 };
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -44,6 +44,7 @@
     HttpHandler handler;
     HttpRefusal refusal;
     std::set<Connection *> connections;
+    bool closeAfterAnswer = false;
     bool stopping = false;
 };
 
@@ -80,8 +81,11 @@
     Asio::awaitable<bool> writeChunk(std::string bytes) override;
     Asio::awaitable<bool> finishStream() override;
     void abort() override;
+    void onCallerGone(std::function<void()> callback) override;
 
 private:
+    void watchCaller();
+    void endWatch();
     Asio::awaitable<bool> readRequest();
     Asio::awaitable<void> drain();
     Asio::awaitable<void> refuse(int status, const std::string &code, const std::string &message);
@@ -92,12 +96,18 @@
     std::shared_ptr<HttpServer::State> state;
     Beast::flat_buffer buffer;
     HttpRequest current;
+    std::function<void()> callerGone;
+    /// Number of the current watch; a watch that ends late belongs to an earlier request.
+    std::uint64_t watch = 0;
     bool keepAlive = true;
     bool idle = true;
 };
 
 Connection::Connection(Tcp::socket socket, std::shared_ptr<HttpServer::State> state) : stream(std::move(socket)), state(std::move(state))
 {
+    // The watch for the caller's end of stream peeks without waiting.
+    boost::system::error_code ignored;
+    this->stream.socket().non_blocking(true, ignored);
     this->state->connections.insert(this);
 }
 
@@ -124,13 +134,51 @@
     this->stream.close();
 }
 
+void Connection::onCallerGone(std::function<void()> callback)
+{
+    this->callerGone = std::move(callback);
+    this->watchCaller();
+}
+
+// Bytes that arrive while a request is in progress belong to a later one and end the watch; only the end of the stream or an
+// error shows that the caller left.
+void Connection::watchCaller()
+{
+    const std::uint64_t current = ++this->watch;
+    this->stream.socket().async_wait(Tcp::socket::wait_read, [self = this->shared_from_this(), current](const boost::system::error_code &error) {
+        if (error || current != self->watch || !self->callerGone) {
+            return;
+        }
+        boost::system::error_code peekError;
+        char probe = 0;
+        const std::size_t received = self->stream.socket().receive(Asio::buffer(&probe, 1), Tcp::socket::message_peek, peekError);
+        if (peekError == Asio::error::would_block || (!peekError && received > 0)) {
+            return;
+        }
+        self->keepAlive = false;
+        const std::function<void()> callback = std::move(self->callerGone);
+        self->callerGone = nullptr;
+        callback();
+    });
+}
+
+void Connection::endWatch()
+{
+    ++this->watch;
+    if (this->callerGone) {
+        this->callerGone = nullptr;
+        boost::system::error_code ignored;
+        this->stream.socket().cancel(ignored);
+    }
+}
+
 template<typename Message>
 void Connection::fillHead(Message &message, const HttpHeaders &headers)
 {
     for (const HttpHeader &header : headers) {
         message.insert(header.name, header.value);
     }
-    this->keepAlive = this->keepAlive && !this->state->stopping;
+    this->keepAlive = this->keepAlive && !this->state->closeAfterAnswer && !this->state->stopping;
     message.keep_alive(this->keepAlive);
 }
 
@@ -243,6 +291,7 @@
             break;
         }
         co_await this->state->handler(*this);
+        this->endWatch();
     }
     co_await this->drain();
 }
@@ -307,6 +356,16 @@
         state->context, [state]() -> Asio::awaitable<void> { co_await state->acceptLoop(); }, Asio::detached);
 }
 
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    this->state->limits = limits;
+}
+
+void HttpServer::announceStop()
+{
+    this->state->closeAfterAnswer = true;
+}
+
 void HttpServer::stop()
 {
     this->state->stopping = true;
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -25,7 +25,7 @@
     ++currentSecond(budget, secondOf(now)).requests;
 }
 
-bool takeRetry(RetryBudget &budget, MonotonicTime now)
+bool hasRetry(const RetryBudget &budget, MonotonicTime now)
 {
     const std::int64_t second = secondOf(now);
     std::int64_t requests = 0;
@@ -36,11 +36,16 @@
             retries += entry.retries;
         }
     }
-    const double limit = RetryBudget::fixedAllowance + RetryBudget::retryShare * static_cast<double>(requests);
-    if (static_cast<double>(retries + 1) > limit) {
+    const double limit = budget.rule.allowance + budget.rule.share * static_cast<double>(requests);
+    return static_cast<double>(retries + 1) <= limit;
+}
+
+bool takeRetry(RetryBudget &budget, MonotonicTime now)
+{
+    if (!hasRetry(budget, now)) {
         return false;
     }
-    ++currentSecond(budget, second).retries;
+    ++currentSecond(budget, secondOf(now)).retries;
     return true;
 }
 
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -8,8 +8,18 @@
 namespace Godwitfork
 {
 
-/// Limits the retries and hedges of one client account to a tenth of its recent requests, so that retries cannot
-/// amplify an overload. An account with few requests has a small fixed allowance instead.
+/// Bound of the retries in a window.
+struct RetryRule {
+    /// Retries for each request of the window.
+    double share = 0.1;
+    /// Retries allowed besides, so that few requests do not mean no retry.
+    double allowance = 3;
+
+    auto operator<=>(const RetryRule &) const = default;
+};
+
+/// Limits retries and hedges to a share of the recent requests, so that retries cannot amplify an overload. The default
+/// rule is that of one client account.
 struct RetryBudget {
     struct Second {
         std::int64_t second = -1;
@@ -18,17 +28,19 @@
     };
 
     static constexpr int windowSeconds = 10;
-    static constexpr double retryShare = 0.1;
-    static constexpr std::int64_t fixedAllowance = 3;
 
-    std::array<Second, windowSeconds> seconds;
+    RetryRule rule;
+    std::array<Second, windowSeconds> seconds {};
 };
 
 /// Counts one request of a caller, not its retries.
 void recordRequest(RetryBudget &budget, MonotonicTime now);
 
-/// Takes one retry from the budget. False if the retries of the last 10 s would pass the fixed allowance plus a tenth
-/// of the requests of the last 10 s.
+/// Whether `takeRetry` would succeed now.
+bool hasRetry(const RetryBudget &budget, MonotonicTime now);
+
+/// Takes one retry from the budget. False if the retries of the last 10 s would pass the rule's allowance plus its
+/// share of the requests of the last 10 s.
 bool takeRetry(RetryBudget &budget, MonotonicTime now);
 
 } // namespace Godwitfork
--- /dev/null
+++ b/Services/Entry/CatalogChanges.cpp
@@ -0,0 +1,116 @@
+#include "CatalogChanges.h"
+
+#include "LibCore/Log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Godwitfork
+{
+
+namespace
+{
+/// Time for which other instances are told that an endpoint left; longer than a store outage seen by one instance alone.
+constexpr Duration leavingMemory = std::chrono::seconds(15);
+
+void logEndpointChanges(EntryState &state, const std::vector<EndpointChange> &changes)
+{
+    for (const EndpointChange &change : changes) {
+        if (change.kind == EndpointChangeKind::Removed) {
+            state.recentlyLeft.push_back({{change.endpoint.id, change.endpoint.incarnation}, monotonicNow()});
+        }
+        if (change.kind == EndpointChangeKind::Restarted || change.kind == EndpointChangeKind::Removed) {
+            state.chooser.forget(change.endpoint.id);
+        }
+        logEvent(LogLevel::Info,
+                 "endpoint.changed",
+                 {{"endpoint", change.endpoint.id},
+                  {"change", endpointChangeName(change.kind)},
+                  {"service", change.endpoint.service},
+                  {"version", change.endpoint.version},
+                  {"address", toText(change.endpoint.address)}});
+    }
+}
+
+void logProblem(CatalogKind kind, const CatalogChange &change)
+{
+    if (!change.problem.empty()) {
+        logEvent(LogLevel::Warning, "store.object_ignored", {{"kind", catalogKindName(kind)}, {"name", change.name}, {"problem", change.problem}});
+    }
+}
+
+void applyRollout(EntryState &state, const CatalogChange &change, MonotonicTime now)
+{
+    if (!change.object) {
+        state.versions.removeOrder(change.name);
+        return;
+    }
+    const auto &order = std::get<RolloutOrder>(*change.object);
+    state.versions.setOrder(order, now);
+    logEvent(LogLevel::Info,
+             "rollout.seen",
+             {{"service", order.service}, {"target", order.target}, {"state", rolloutStateName(order.state)}, {"revision", order.revision}});
+}
+} // namespace
+
+void applyEndpointList(EntryState &state, const CatalogPage &page, SnapshotTrust trust, MonotonicTime now)
+{
+    std::vector<EndpointEntry> entries;
+    for (const CatalogChange &change : page.changes) {
+        logProblem(CatalogKind::Endpoints, change);
+        if (change.object) {
+            entries.push_back(std::get<EndpointEntry>(*change.object));
+        }
+    }
+    logEndpointChanges(state, state.endpoints.replaceAll(entries, trust, now));
+    state.endpointsKnown = true;
+}
+
+void applyLeaving(EntryState &state, const std::vector<LeavingEndpoint> &leaving)
+{
+    for (const LeavingEndpoint &endpoint : leaving) {
+        logEndpointChanges(state, state.endpoints.markLeaving(endpoint.id, endpoint.incarnation));
+    }
+}
+
+bool adoptConfiguration(EntryState &state, const CatalogChange &change, const char *origin, MonotonicTime now)
+{
+    const auto &configuration = std::get<std::shared_ptr<const RouteConfiguration>>(*change.object);
+    const ConfigurationVersion current = state.routes ? state.routes->configuration().version : 0;
+    if (state.routes && configuration->version <= current) {
+        return false;
+    }
+    state.routes = std::make_shared<const RouteTable>(configuration);
+    state.routesSince = now;
+    state.configurationSource = change.source;
+    logEvent(LogLevel::Info,
+             "configuration.adopted",
+             {{"version", configuration->version}, {"previous", current}, {"routes", configuration->routes.size()}, {"origin", origin}});
+    return true;
+}
+
+void applyCatalogChange(EntryState &state, CatalogKind kind, const CatalogChange &change, SnapshotTrust trust, MonotonicTime now)
+{
+    logProblem(kind, change);
+    switch (kind) {
+    case CatalogKind::Configuration:
+        if (change.object) {
+            adoptConfiguration(state, change, "store", now);
+        }
+        break;
+    case CatalogKind::Endpoints:
+        logEndpointChanges(state,
+                           change.object ? state.endpoints.put(std::get<EndpointEntry>(*change.object)) : state.endpoints.remove(change.name, trust, now));
+        break;
+    case CatalogKind::Rollouts:
+        applyRollout(state, change, now);
+        break;
+    }
+}
+
+void expireEndpoints(EntryState &state, MonotonicTime now)
+{
+    std::erase_if(state.recentlyLeft, [&](const auto &entry) { return now - entry.second > leavingMemory; });
+    logEndpointChanges(state, state.endpoints.expire(now));
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Services/Entry/CatalogFollower.cpp
@@ -0,0 +1,150 @@
+#include "CatalogFollower.h"
+
+#include "CatalogChanges.h"
+#include "LibCore/Log.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Godwitfork
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+/// Wait of one watch. Each watch counts as one call at the store, and a longer one finds a silent connection later.
+constexpr Duration watchWait = std::chrono::seconds(8);
+constexpr Duration minBackoff = std::chrono::milliseconds(100);
+/// Keeps the calls of all instances to a store that is down far below its rates.
+constexpr Duration maxBackoff = std::chrono::milliseconds(800);
+/// Shorter failures are cut watches, in which no registration lapses.
+constexpr Duration outageThreshold = std::chrono::milliseconds(1500);
+/// Time after an outage in which removals may be lapsed registrations.
+constexpr Duration distrustTime = std::chrono::milliseconds(2500);
+
+nlohmann::ordered_json failureFields(CatalogKind kind, const CatalogError &error)
+{
+    return {{"kind", catalogKindName(kind)}, {"failure", catalogFailureName(error.failure)}, {"message", error.message}};
+}
+} // namespace
+
+CatalogFollower::CatalogFollower(Asio::io_context &context, Platform::CatalogClient &client, EntryState &state, CatalogKind kind)
+    : context(context), client(client), state(state), kind(kind), backoff(minBackoff)
+{
+}
+
+Asio::awaitable<void> CatalogFollower::run()
+{
+    while (!this->stopped) {
+        if (this->revision) {
+            co_await this->watchOnce();
+        } else {
+            co_await this->listOnce();
+        }
+    }
+}
+
+void CatalogFollower::stop()
+{
+    this->stopped = true;
+    if (this->canceller) {
+        this->canceller->cancel();
+    }
+}
+
+Asio::awaitable<void> CatalogFollower::listOnce()
+{
+    const auto page = co_await this->client.list(this->kind);
+    if (!page) {
+        co_await this->pauseAfterFailure(page.error());
+        co_return;
+    }
+    this->recordSuccess();
+    this->applyList(page.value());
+    this->revision = page.value().revision;
+}
+
+Asio::awaitable<void> CatalogFollower::watchOnce()
+{
+    this->canceller = std::make_shared<HttpCallCanceller>();
+    const auto page = co_await this->client.watch(this->kind, *this->revision, watchWait, this->canceller);
+    if (this->stopped) {
+        co_return;
+    }
+    if (!page) {
+        if (page.error().failure == CatalogFailure::HistoryLost) {
+            logEvent(LogLevel::Warning, "store.history_lost", {{"kind", catalogKindName(this->kind)}, {"revision", *this->revision}});
+            this->revision.reset();
+            co_return;
+        }
+        co_await this->pauseAfterFailure(page.error());
+        co_return;
+    }
+    this->recordSuccess();
+    for (const CatalogChange &change : page.value().changes) {
+        this->applyChange(change);
+    }
+    this->revision = page.value().revision;
+}
+
+Asio::awaitable<void> CatalogFollower::pauseAfterFailure(const CatalogError &error)
+{
+    if (!this->failingSince) {
+        this->failingSince = monotonicNow();
+        logEvent(LogLevel::Warning, "store.lost", failureFields(this->kind, error));
+    }
+    std::uniform_real_distribution<double> jitter(0.5, 1);
+    Asio::steady_timer timer(this->context, std::chrono::duration_cast<Duration>(this->backoff * jitter(this->state.random)));
+    this->backoff = std::min(this->backoff * 2, maxBackoff);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+}
+
+void CatalogFollower::recordSuccess()
+{
+    this->backoff = minBackoff;
+    if (!this->failingSince) {
+        return;
+    }
+    const MonotonicTime now = monotonicNow();
+    const Duration outage = now - *this->failingSince;
+    if (outage > outageThreshold) {
+        this->outageEnded = now;
+    }
+    this->failingSince.reset();
+    logEvent(LogLevel::Info,
+             "store.regained",
+             {{"kind", catalogKindName(this->kind)}, {"outage_ms", std::chrono::duration_cast<std::chrono::milliseconds>(outage).count()}});
+}
+
+SnapshotTrust CatalogFollower::trust() const
+{
+    const bool isRecent = this->outageEnded != MonotonicTime() && monotonicNow() - this->outageEnded < distrustTime;
+    return isRecent ? SnapshotTrust::AfterOutage : SnapshotTrust::Complete;
+}
+
+void CatalogFollower::applyList(const CatalogPage &page)
+{
+    if (this->kind == CatalogKind::Endpoints) {
+        applyEndpointList(this->state, page, this->trust(), monotonicNow());
+        return;
+    }
+    for (const CatalogChange &change : page.changes) {
+        this->applyChange(change);
+    }
+    if (this->kind == CatalogKind::Rollouts) {
+        this->state.rolloutsKnown = true;
+    }
+}
+
+void CatalogFollower::applyChange(const CatalogChange &change)
+{
+    applyCatalogChange(this->state, this->kind, change, this->trust(), monotonicNow());
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Services/Entry/EntryMetrics.cpp
@@ -0,0 +1,61 @@
+#include "EntryMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace Godwitfork
+{
+
+namespace
+{
+const prometheus::Histogram::BucketBoundaries latencyBuckets {0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2, 3, 5, 8, 12};
+
+double toSeconds(Duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+} // namespace
+
+struct EntryMetrics::State {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &requests =
+        prometheus::BuildCounter().Name("godwitfork_entry_requests_total").Help("Requests by route and status").Register(this->registry);
+    prometheus::Family<prometheus::Histogram> &elapsed =
+        prometheus::BuildHistogram().Name("godwitfork_entry_request_seconds").Help("Time until the end of the answer").Register(this->registry);
+    prometheus::Family<prometheus::Histogram> &firstOutput =
+        prometheus::BuildHistogram().Name("godwitfork_entry_first_output_seconds").Help("Time until the first output").Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &gauges =
+        prometheus::BuildGauge().Name("godwitfork_entry_belief").Help("What the process believes, by name").Register(this->registry);
+};
+
+EntryMetrics::EntryMetrics() : state(std::make_unique<State>())
+{
+}
+
+EntryMetrics::~EntryMetrics() = default;
+
+void EntryMetrics::recordRequest(const std::string &route, int status, bool callerGone, Duration elapsed)
+{
+    const std::string code = callerGone ? "caller_gone" : std::to_string(status);
+    this->state->requests.Add({{"route", route}, {"status", code}}).Increment();
+    this->state->elapsed.Add({{"route", route}}, latencyBuckets).Observe(toSeconds(elapsed));
+}
+
+void EntryMetrics::recordFirstOutput(const std::string &route, Duration elapsed)
+{
+    this->state->firstOutput.Add({{"route", route}}, latencyBuckets).Observe(toSeconds(elapsed));
+}
+
+std::string EntryMetrics::toText(const EntryGauges &gauges)
+{
+    this->state->gauges.Add({{"name", "configuration_version"}}).Set(gauges.configurationVersion);
+    this->state->gauges.Add({{"name", "configuration_age_seconds"}}).Set(gauges.configurationAgeSeconds);
+    this->state->gauges.Add({{"name", "endpoints"}}).Set(gauges.endpoints);
+    this->state->gauges.Add({{"name", "ready"}}).Set(gauges.isReady ? 1 : 0);
+    return prometheus::TextSerializer().Serialize(this->state->registry.Collect());
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Services/Entry/EntryService.cpp
@@ -0,0 +1,271 @@
+#include "EntryService.h"
+
+#include "CatalogChanges.h"
+#include "LibCore/Log.h"
+#include "LibSettings/SettingsReader.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <system_error>
+
+namespace Godwitfork
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+constexpr Duration tickInterval = std::chrono::milliseconds(100);
+/// Limit of one store call; the store answers in milliseconds and may be slow for a time.
+constexpr Duration storeTimeout = std::chrono::milliseconds(1500);
+/// The platform's balancer asks each second and takes an instance out after two refusals.
+constexpr Duration balancerDelay = std::chrono::milliseconds(2500);
+/// Kept of the stop limit for the end of the process itself.
+constexpr Duration exitMargin = std::chrono::milliseconds(400);
+/// A settings file may change without a signal.
+constexpr Duration settingsInterval = std::chrono::seconds(5);
+/// Between two tries to write the state of a roll-out.
+constexpr Duration rolloutWritePause = std::chrono::milliseconds(400);
+
+HttpResponse refusal(int status, const std::string &code, const std::string &message)
+{
+    return jsonResponse(status, nlohmann::json {{"error", {{"code", code}, {"message", message}}}}.dump());
+}
+
+template<typename Coroutine>
+void spawn(Asio::io_context &context, Coroutine coroutine)
+{
+    Asio::co_spawn(context, std::move(coroutine), Asio::detached);
+}
+} // namespace
+
+EntryService::EntryService(EntrySettings settings, std::string settingsFile)
+    : context(1)
+    , state(std::move(settings))
+    , settingsFile(std::move(settingsFile))
+    , settingsText(readFile(this->settingsFile))
+    , client(this->context)
+    , catalog(this->client, this->state.settings.store, storeTimeout)
+    , requestContext {this->state, this->client, this->metrics}
+    , peers(this->context, this->client, this->state)
+    , callers(
+          this->context,
+          this->state.settings.callers,
+          {},
+          [this](HttpExchange &exchange) { return this->serveCaller(exchange); },
+          refusal)
+    , readiness(
+          this->context,
+          this->state.settings.readiness,
+          {},
+          [this](HttpExchange &exchange) { return this->serveReadiness(exchange); },
+          refusal)
+    , metricsListener(
+          this->context,
+          this->state.settings.metrics,
+          {},
+          [this](HttpExchange &exchange) { return this->serveMetrics(exchange); },
+          refusal)
+    , stopSignals(this->context, SIGTERM, SIGINT)
+    , reloadSignals(this->context, SIGHUP)
+{
+    for (const CatalogKind kind : {CatalogKind::Configuration, CatalogKind::Endpoints, CatalogKind::Rollouts}) {
+        this->followers.push_back(std::make_unique<CatalogFollower>(this->context, this->catalog, this->state, kind));
+    }
+}
+
+void EntryService::run()
+{
+    logEvent(LogLevel::Info, "started", {{"callers", toText(this->state.settings.callers)}, {"failure_domain", this->state.settings.failureDomain}});
+    this->callers.start();
+    this->readiness.start();
+    this->metricsListener.start();
+    this->peers.start();
+    for (const auto &follower : this->followers) {
+        spawn(this->context, [follower = follower.get()] { return follower->run(); });
+    }
+    spawn(this->context, [this] { return this->tickLoop(); });
+    spawn(this->context, [this] { return this->waitForReload(); });
+    spawn(this->context, [this] { return this->waitForStop(); });
+    this->context.run();
+    logEvent(LogLevel::Info, "stopped", {{"open_connections", this->callers.openConnections()}});
+    flushLog();
+}
+
+Asio::awaitable<void> EntryService::serveCaller(HttpExchange &exchange)
+{
+    RequestRun run(this->requestContext, exchange);
+    co_await run.run();
+}
+
+Asio::awaitable<void> EntryService::serveReadiness(HttpExchange &exchange)
+{
+    HttpResponse response;
+    response.status = this->state.isReady() ? 200 : 503;
+    co_await exchange.respond(std::move(response));
+}
+
+EntryGauges EntryService::gauges() const
+{
+    EntryGauges gauges;
+    if (this->state.routes) {
+        gauges.configurationVersion = static_cast<double>(this->state.routes->configuration().version);
+        gauges.configurationAgeSeconds = std::chrono::duration<double>(monotonicNow() - this->state.routesSince).count();
+    }
+    gauges.endpoints = static_cast<double>(this->state.endpoints.size());
+    gauges.isReady = this->state.isReady();
+    return gauges;
+}
+
+Asio::awaitable<void> EntryService::serveMetrics(HttpExchange &exchange)
+{
+    HttpResponse response;
+    response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+    response.body = this->metrics.toText(this->gauges());
+    co_await exchange.respond(std::move(response));
+}
+
+void EntryService::applyLimits()
+{
+    if (!this->state.routes || this->state.routes->configuration().version == this->limitsVersion) {
+        return;
+    }
+    const CallerLimits &limits = this->state.routes->configuration().limits;
+    this->limitsVersion = this->state.routes->configuration().version;
+    HttpServerLimits serverLimits;
+    serverLimits.maxHeaderBytes = limits.maxHeaderBytes;
+    serverLimits.maxBodyBytes = limits.maxBodyBytes;
+    serverLimits.requestTimeout = limits.requestTimeout;
+    serverLimits.idleTimeout = limits.idleTimeout;
+    this->callers.setLimits(serverLimits);
+}
+
+void EntryService::driveRollouts(MonotonicTime now)
+{
+    for (const std::string &service : this->state.versions.evaluate()) {
+        logEvent(LogLevel::Warning, "rollout.found_bad", {{"service", service}, {"target", this->state.versions.rollouts().at(service).order.target}});
+    }
+    if (this->isWritingRollout) {
+        return;
+    }
+    for (const auto &[service, rollout] : this->state.versions.rollouts()) {
+        const int running = this->peers.runningOutside(service, rollout.order.target, now);
+        const auto next = this->state.versions.stateToWrite(service, running, this->peers.rankFor(service, now), now);
+        if (next) {
+            this->isWritingRollout = true;
+            spawn(this->context, [this, order = rollout.order, next] { return this->writeRollout(order, *next); });
+            return;
+        }
+    }
+}
+
+Asio::awaitable<void> EntryService::writeRollout(RolloutOrder order, RolloutState next)
+{
+    const auto written = co_await this->catalog.writeRolloutState(order, next);
+    if (written) {
+        this->state.versions.setOrder(written.value(), monotonicNow());
+        logEvent(LogLevel::Info, "rollout.written", {{"service", order.service}, {"target", order.target}, {"state", rolloutStateName(next)}});
+    } else {
+        logEvent(LogLevel::Warning,
+                 "rollout.not_written",
+                 {{"service", order.service},
+                  {"state", rolloutStateName(next)},
+                  {"failure", catalogFailureName(written.error().failure)},
+                  {"message", written.error().message}});
+        // The watch brings the newer object after a conflict; a store that is away gets a pause.
+        Asio::steady_timer timer(this->context, rolloutWritePause);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+    }
+    this->isWritingRollout = false;
+}
+
+Asio::awaitable<void> EntryService::tickLoop()
+{
+    Asio::steady_timer timer(this->context);
+    MonotonicTime nextSettings = monotonicNow() + settingsInterval;
+    while (true) {
+        timer.expires_after(tickInterval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+        const MonotonicTime now = monotonicNow();
+        expireEndpoints(this->state, now);
+        this->applyLimits();
+        this->state.versions.prune(now);
+        this->driveRollouts(now);
+        this->peers.tick(now);
+        if (this->state.isReady() != this->wasReady) {
+            this->wasReady = this->state.isReady();
+            logEvent(LogLevel::Info, this->wasReady ? "ready" : "not_ready");
+        }
+        if (now >= nextSettings) {
+            nextSettings = now + settingsInterval;
+            this->reloadSettings("changed");
+        }
+    }
+}
+
+// Addresses and names belong to the process's start; the limits of the new file come into force at once.
+void EntryService::reloadSettings(const char *cause)
+{
+    try {
+        const std::string text = readFile(this->settingsFile);
+        if (text == this->settingsText) {
+            return;
+        }
+        this->settingsText = text;
+        Findings findings;
+        EntrySettings settings = parseEntrySettings(this->settingsFile, text, findings);
+        if (!findings.isEmpty()) {
+            logEvent(LogLevel::Error, "settings.rejected", {{"cause", cause}, {"findings", findings.toText()}});
+            return;
+        }
+        this->state.settings = std::move(settings);
+        this->state.retryBudgets.clear();
+        logEvent(LogLevel::Info, "settings.reloaded", {{"cause", cause}});
+    } catch (const std::system_error &error) {
+        logEvent(LogLevel::Error, "settings.rejected", {{"cause", cause}, {"findings", error.what()}});
+    }
+}
+
+Asio::awaitable<void> EntryService::waitForReload()
+{
+    while (true) {
+        boost::system::error_code error;
+        co_await this->reloadSignals.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        this->reloadSettings("signal");
+    }
+}
+
+Asio::awaitable<void> EntryService::waitForStop()
+{
+    boost::system::error_code error;
+    const int signal = co_await this->stopSignals.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+    const MonotonicTime end = monotonicNow() + this->state.settings.stopLimit - exitMargin;
+    logEvent(LogLevel::Info, "stopping", {{"signal", signal}, {"open_connections", this->callers.openConnections()}});
+    this->state.stopping = true;
+    // Callers that come before the balancer notices are still served.
+    this->callers.announceStop();
+    Asio::steady_timer timer(this->context, balancerDelay);
+    co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+    this->callers.stop();
+    while (this->callers.openConnections() > 0 && monotonicNow() < end) {
+        timer.expires_after(tickInterval);
+        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+    }
+    for (const auto &follower : this->followers) {
+        follower->stop();
+    }
+    this->context.stop();
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Services/Entry/EntrySettings.cpp
@@ -0,0 +1,124 @@
+#include "EntrySettings.h"
+
+#include "LibSettings/SettingsReader.h"
+
+#include <sstream>
+
+namespace Godwitfork
+{
+
+namespace
+{
+HttpAddress readAddress(SettingsReader &reader, const std::string &key)
+{
+    const std::string text = reader.requiredText(key);
+    HttpAddress address = parseHttpAddress(text);
+    if (!text.empty() && address.host.empty()) {
+        reader.addFinding(key, "must be an IP address and a port, as in 127.0.0.1:8080");
+    }
+    return address;
+}
+
+std::vector<HttpAddress> readSeeds(SettingsReader &reader)
+{
+    std::vector<HttpAddress> seeds;
+    for (const std::string &text : reader.texts("seeds")) {
+        const HttpAddress address = parseHttpAddress(text);
+        if (address.host.empty()) {
+            reader.addFinding("seeds", "'" + text + "' is not an IP address and a port");
+        } else {
+            seeds.push_back(address);
+        }
+    }
+    return seeds;
+}
+
+LogLevel readLogLevel(SettingsReader &reader)
+{
+    const std::string name = reader.text("log_level", "info");
+    for (const LogLevel level : {LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error}) {
+        if (name == logLevelName(level)) {
+            return level;
+        }
+    }
+    reader.addFinding("log_level", "must be debug, info, warning or error");
+    return LogLevel::Info;
+}
+
+/// Reads a fraction; the platform writes whole numbers without a decimal point.
+double readFraction(SettingsReader &reader, const std::string &key, double fallback, double minimum, double maximum)
+{
+    const std::string text = reader.text(key, "");
+    if (text.empty()) {
+        return fallback;
+    }
+    try {
+        std::size_t used = 0;
+        const double value = std::stod(text, &used);
+        if (used == text.size() && value >= minimum && value <= maximum) {
+            return value;
+        }
+    } catch (const std::logic_error &) {
+        // Reported below together with values out of range.
+    }
+    reader.addFinding(key, "must be a number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+    return fallback;
+}
+
+Duration readSeconds(SettingsReader &reader, const std::string &key, double fallback, double minimum, double maximum)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(readFraction(reader, key, fallback, minimum, maximum)));
+}
+} // namespace
+
+EntrySettings parseEntrySettings(const std::string &file, const std::string &text, Findings &findings)
+{
+    SettingsReader reader(file, text);
+    EntrySettings settings;
+    settings.instance = reader.requiredText("instance");
+    settings.failureDomain = reader.requiredText("failure_domain");
+    settings.callers = readAddress(reader, "listen");
+    settings.readiness = readAddress(reader, "readiness_listen");
+    settings.peers = readAddress(reader, "peer_listen");
+    settings.metrics = readAddress(reader, "metrics_listen");
+    settings.store = readAddress(reader, "store");
+    settings.seeds = readSeeds(reader);
+    settings.logLevel = readLogLevel(reader);
+    settings.stopLimit = readSeconds(reader, "stop_limit_s", 8, 0.5, 600);
+    settings.retryRatio = readFraction(reader, "retry_ratio", settings.retryRatio, 0, 10);
+    settings.retryAllowance = reader.integer("retry_allowance", settings.retryAllowance, 0, 1'000'000);
+    settings.retryWindow = readSeconds(reader, "retry_window_s", 10, 1, 600);
+    settings.exposureShare = readFraction(reader, "exposure_share", settings.exposureShare, 0, 1);
+    settings.rollbackLimit = reader.milliseconds("rollback_limit_ms", 5000, 100, 600'000);
+    settings.sessionLifetime = readSeconds(reader, "session_lifetime_s", 5, 0, 86'400);
+    findings.append(reader.finish());
+    return settings;
+}
+
+std::string printEntrySettings(const EntrySettings &settings)
+{
+    const auto seconds = [](Duration time) { return std::chrono::duration<double>(time).count(); };
+    std::ostringstream out;
+    out << "instance: " << settings.instance << "\n"
+        << "failure_domain: " << settings.failureDomain << "\n"
+        << "listen: " << toText(settings.callers) << "\n"
+        << "readiness_listen: " << toText(settings.readiness) << "\n"
+        << "peer_listen: " << toText(settings.peers) << "\n"
+        << "metrics_listen: " << toText(settings.metrics) << "\n"
+        << "store: " << toText(settings.store) << "\n"
+        << "seeds:\n";
+    for (const HttpAddress &seed : settings.seeds) {
+        out << "  - " << toText(seed) << "\n";
+    }
+    out << "log_level: " << logLevelName(settings.logLevel) << "\n"
+        << "stop_limit_s: " << seconds(settings.stopLimit) << "\n"
+        << "retry_ratio: " << settings.retryRatio << "\n"
+        << "retry_allowance: " << settings.retryAllowance << "\n"
+        << "retry_window_s: " << seconds(settings.retryWindow) << "\n"
+        << "exposure_share: " << settings.exposureShare << "\n"
+        << "rollback_limit_ms: " << std::chrono::duration_cast<std::chrono::milliseconds>(settings.rollbackLimit).count() << "\n"
+        << "session_lifetime_s: " << seconds(settings.sessionLifetime) << "\n";
+    return out.str();
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Services/Entry/EntryState.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "EntrySettings.h"
+#include "LibCore/Random.h"
+#include "LibGateway/Catalog.h"
+#include "LibGateway/EndpointChooser.h"
+#include "LibGateway/EndpointRegistry.h"
+#include "LibGateway/ModelLadder.h"
+#include "LibGateway/PeerReport.h"
+#include "LibGateway/RouteTable.h"
+#include "LibGateway/VersionPolicy.h"
+#include "LibRouting/RetryBudget.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Godwitfork
+{
+
+/// What one entry process believes. Only the process's one thread touches it.
+struct EntryState {
+    explicit EntryState(EntrySettings settings);
+
+    EntrySettings settings;
+    /// Null until a configuration was read from the store.
+    std::shared_ptr<const RouteTable> routes;
+    MonotonicTime routesSince;
+    EndpointRegistry endpoints;
+    bool endpointsKnown = false;
+    /// Endpoints that left lately, for the other instances.
+    std::vector<std::pair<LeavingEndpoint, MonotonicTime>> recentlyLeft;
+    VersionPolicy versions;
+    bool rolloutsKnown = false;
+    /// The configuration in force as the store holds it.
+    std::string configurationSource;
+    EndpointChooser chooser;
+    ConfidenceEstimates confidences;
+    /// By service.
+    std::map<std::string, RetryBudget> retryBudgets;
+    RandomSource random;
+    bool stopping = false;
+
+    /// Whether everything that a decision needs was read from the store.
+    bool isInformed() const;
+    bool isReady() const;
+    RetryBudget &retryBudget(const std::string &service);
+};
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Services/Entry/RequestRun.cpp
@@ -0,0 +1,607 @@
+#include "RequestRun.h"
+
+#include "LibCore/Digest.h"
+#include "LibCore/Log.h"
+#include "LibHttp/EventSplitter.h"
+#include "RequestHeaders.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Godwitfork
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+/// An endpoint in the same region accepts in a few milliseconds; longer means that it is gone or a packet was lost.
+constexpr Duration connectTimeout = std::chrono::milliseconds(250);
+/// Unacknowledged data for this long means a dead connection; a lost packet is sent again after some 200 ms.
+constexpr Duration unacknowledgedLimit = std::chrono::milliseconds(900);
+/// Kept of the caller's deadline for the way back of the answer.
+constexpr Duration answerMargin = std::chrono::milliseconds(10);
+constexpr Duration defaultDeadline = std::chrono::seconds(30);
+constexpr std::size_t maxAnswerBytes = std::size_t {16} * 1024 * 1024;
+/// Pause after which a silent stream counts as broken, in multiples of the pause that is still on time.
+constexpr double pauseTolerance = 1.5;
+/// Time to the first event after which an engine counts as hanging, in multiples of the expected time.
+constexpr double firstEventTolerance = 3;
+/// Answers that took this many times longer than expected count as slow.
+constexpr int slowFactor = 3;
+/// Shorter expectations scatter too widely to tell slow answers from others.
+constexpr Duration minExpectedTime = std::chrono::milliseconds(80);
+constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
+constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
+
+std::int64_t toMilliseconds(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+std::string withoutPort(const std::string &host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+std::string errorBody(const std::string &reason)
+{
+    return nlohmann::json {{"error", {{"code", reason}}}}.dump();
+}
+
+/// Position of a session in [0, 1), the same on all instances.
+double sessionDraw(const GatewayRequest &facts)
+{
+    const std::string &key = facts.session.empty() ? facts.id : facts.session;
+    return static_cast<double>(hash64(key) >> 11) / static_cast<double>(std::uint64_t {1} << 53);
+}
+
+AttemptOutcome failedAttempt(const HttpClientError &error)
+{
+    AttemptOutcome outcome;
+    if (error.phase == SendPhase::NotSent) {
+        outcome.end = AttemptEnd::NotSent;
+    } else if (error.failure == HttpFailure::Timeout) {
+        outcome.end = AttemptEnd::TimedOut;
+    } else {
+        outcome.end = AttemptEnd::Lost;
+    }
+    return outcome;
+}
+
+EndpointResult endpointResult(const AttemptOutcome &outcome)
+{
+    switch (outcome.end) {
+    case AttemptEnd::NotSent:
+    case AttemptEnd::TimedOut:
+        return EndpointResult::Silent;
+    case AttemptEnd::Lost:
+        return EndpointResult::Failure;
+    case AttemptEnd::Answered:
+        break;
+    }
+    if (outcome.answer.notRun) {
+        return EndpointResult::Shed;
+    }
+    return isSuccess(outcome.answer) ? EndpointResult::Success : EndpointResult::Failure;
+}
+} // namespace
+
+RequestRun::RequestRun(EntryContext &context, HttpExchange &exchange)
+    : context(context), state(context.state), exchange(exchange), caller(std::make_shared<CallerWatch>()), started(monotonicNow())
+{
+    this->exchange.onCallerGone([caller = this->caller] {
+        caller->gone = true;
+        if (caller->canceller) {
+            caller->canceller->cancel();
+        }
+    });
+}
+
+Asio::awaitable<void> RequestRun::run()
+{
+    this->facts = Platform::readRequest(this->exchange.request());
+    this->routes = this->state.routes;
+    const bool isAccepted = co_await this->checkRequest();
+    if (isAccepted) {
+        co_await this->serve();
+    }
+    this->logEnd();
+}
+
+Asio::awaitable<bool> RequestRun::checkRequest()
+{
+    if (!this->state.isInformed()) {
+        co_await this->answerSelf(503, "configuration_not_known", this->retryDelay());
+        co_return false;
+    }
+    if (this->facts.id.empty()) {
+        co_await this->answerSelf(400, "request_id_missing", Duration::zero());
+        co_return false;
+    }
+    this->route = this->routes->findRoute(this->facts.host, this->facts.path);
+    if (!this->route) {
+        this->route = this->routes->findRoute(withoutPort(this->facts.host), this->facts.path);
+    }
+    if (!this->route) {
+        co_await this->answerSelf(404, "route_not_found", Duration::zero());
+        co_return false;
+    }
+    if (!this->route->isPublic && !this->routes->configuration().accounts.empty()) {
+        this->account = this->routes->findAccount(this->facts.key);
+        if (!this->account) {
+            co_await this->answerSelf(401, "key_not_known", Duration::zero());
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+Asio::awaitable<void> RequestRun::serve()
+{
+    const Duration callerTime = this->facts.deadline.value_or(defaultDeadline) - answerMargin;
+    this->deadline = this->started + std::min(callerTime, this->route->timeout);
+    this->service = chooseService(*this->route, sessionDraw(this->facts));
+    this->progress.repeatRule = this->route->repeatRule;
+    this->progress.maxAttempts = this->route->maxAttempts;
+    recordRequest(this->state.retryBudget(this->service), this->started);
+    while (!this->caller->gone) {
+        if (!this->startAttempt()) {
+            co_await this->finish(this->progress.possibleRuns == 0 ? NextStep::RefuseNotRun : NextStep::Fail);
+            co_return;
+        }
+        if (this->progress.arrivals > 0) {
+            takeRetry(this->state.retryBudget(this->service), monotonicNow());
+        }
+        const AttemptOutcome outcome = co_await this->attempt();
+        if (this->caller->gone) {
+            this->endAttempt(EndpointResult::Ended);
+            break;
+        }
+        this->progress = recordAttempt(this->progress, outcome);
+        this->endAttempt(endpointResult(outcome));
+        this->recordVersion(outcome);
+        if (this->escalating) {
+            this->logEscalation();
+            this->escalating = false;
+            this->tried.erase(this->current->choice.endpoint.id);
+            continue;
+        }
+        if (this->answerStarted) {
+            const bool isComplete = this->streamComplete;
+            const bool goesOn = !isComplete && mayResume(this->progress, this->retryMeans());
+            this->logAttempt(outcome, goesOn ? NextStep::TryAnother : NextStep::Deliver);
+            if (goesOn) {
+                continue;
+            }
+            if (isComplete) {
+                co_await this->exchange.finishStream();
+            } else {
+                this->reason = "stream_broken";
+                this->exchange.abort();
+            }
+            co_return;
+        }
+        const NextStep step = nextStep(this->progress, outcome, this->retryMeans());
+        this->logAttempt(outcome, step);
+        if (step == NextStep::TryAnother) {
+            continue;
+        }
+        co_await this->finish(step);
+        co_return;
+    }
+    this->reason = "caller_gone";
+}
+
+std::vector<const EndpointEntry *> RequestRun::candidates() const
+{
+    const VersionQuery query {this->service, this->facts.session, sessionDraw(this->facts), this->avoidCandidate};
+    return this->state.versions.filter(query, this->state.endpoints.ready(this->service), monotonicNow());
+}
+
+void RequestRun::recordVersion(const AttemptOutcome &outcome)
+{
+    const EndpointEntry &endpoint = this->current->choice.endpoint;
+    if (!mayHaveRun(outcome)) {
+        return;
+    }
+    const MonotonicTime now = monotonicNow();
+    this->state.versions.recordSession(this->service, this->facts.session, endpoint.version, now);
+    AnswerObservation answer;
+    answer.route = this->route->name;
+    answer.endpoint = endpoint.id;
+    answer.isFailure = outcome.end != AttemptEnd::Answered || !isSuccess(outcome.answer);
+    const Duration expected = std::max(this->current->choice.firstOutput, minExpectedTime);
+    answer.isSlow = this->current->firstOutput && *this->current->firstOutput > expected * slowFactor;
+    this->state.versions.recordAnswer(this->service, endpoint.version, answer);
+    this->avoidCandidate = this->avoidCandidate || answer.isFailure;
+}
+
+bool RequestRun::choosesModel() const
+{
+    return this->facts.model.empty() && !this->route->models.empty();
+}
+
+ChoiceQuery RequestRun::makeQuery() const
+{
+    ChoiceQuery query;
+    query.service = this->service;
+    query.promptTokens = this->facts.promptTokens;
+    query.parts = this->facts.promptParts;
+    query.excluded = this->tried;
+    const ServiceProperties *properties = this->routes->findService(this->service);
+    if (properties && properties->engine) {
+        query.memoryTokens = properties->engine->memoryTokens;
+        query.model = this->facts.model;
+    }
+    return query;
+}
+
+std::int64_t RequestRun::expectedOutput() const
+{
+    const auto estimate = this->facts.expectedOutputTokens.value_or(this->facts.maxOutputTokens / 2);
+    return std::min(std::max<std::int64_t>(estimate, 1), std::max<std::int64_t>(this->facts.maxOutputTokens, 1));
+}
+
+LadderTimes RequestRun::ladderTimes() const
+{
+    return {this->untilObjective(), this->remaining()};
+}
+
+std::vector<ModelOption> RequestRun::modelOptions() const
+{
+    const ServiceProperties *properties = this->routes->findService(this->service);
+    const auto endpoints = this->candidates();
+    ChoiceQuery query = this->makeQuery();
+    double dearest = 0;
+    std::map<std::string, double> costs;
+    if (properties && properties->engine) {
+        for (const ModelOffer &offer : properties->engine->models) {
+            costs[offer.name] = offer.costPerThousandTokens;
+            dearest = std::max(dearest, offer.costPerThousandTokens);
+        }
+    }
+    std::vector<ModelOption> options;
+    const std::size_t count = this->route->models.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        query.model = this->route->models[i];
+        const auto choice = this->state.chooser.choose(endpoints, query, monotonicNow(), this->state.random);
+        ModelOption option;
+        option.quality = this->state.confidences.quality(this->service, query.model, static_cast<double>(i + 1) / static_cast<double>(count));
+        option.relativeCost = dearest > 0 ? costs[query.model] / dearest : 0;
+        option.firstOutput = choice ? choice->firstOutput : this->remaining();
+        option.lastOutput = option.firstOutput + this->state.chooser.speeds().outputTime(this->service, query.model, this->expectedOutput());
+        options.push_back(option);
+    }
+    return options;
+}
+
+bool RequestRun::escalate(const AnswerFacts &answer)
+{
+    this->confidence = answer.confidence;
+    if (!answer.confidence || !this->choosesModel() || this->answerStarted) {
+        return false;
+    }
+    this->state.confidences.record(this->service, this->route->models[*this->model], *answer.confidence);
+    // An escalation is one more run and one more arrival at the service.
+    if (this->progress.possibleRuns + 1 >= this->progress.maxAttempts || !mayRepeat(this->route->repeatRule) || !this->retryMeans().hasBudget) {
+        return false;
+    }
+    const auto larger = escalation(this->modelOptions(), *this->model, *answer.confidence, this->ladderTimes());
+    if (!larger) {
+        return false;
+    }
+    this->model = larger;
+    this->escalating = true;
+    return true;
+}
+
+bool RequestRun::startAttempt()
+{
+    AttemptInProgress next;
+    next.query = this->makeQuery();
+    if (this->choosesModel()) {
+        if (!this->model) {
+            this->model = firstModel(this->modelOptions(), this->ladderTimes());
+        }
+        next.query.model = this->route->models[*this->model];
+    }
+    auto choice = this->state.chooser.choose(this->candidates(), next.query, monotonicNow(), this->state.random);
+    if (!choice) {
+        return false;
+    }
+    next.choice = std::move(*choice);
+    next.ticket = this->state.chooser.begin(next.query, next.choice);
+    next.started = monotonicNow();
+    this->tried.insert(next.choice.endpoint.id);
+    this->current = std::move(next);
+    return true;
+}
+
+void RequestRun::endAttempt(EndpointResult result)
+{
+    if (this->current) {
+        this->state.chooser.end(this->current->ticket, result, monotonicNow());
+    }
+}
+
+HttpCallOptions RequestRun::callOptions(Duration limit)
+{
+    HttpCallOptions options;
+    options.connectTimeout = std::min(connectTimeout, limit);
+    options.answerTimeout = limit;
+    options.idleTimeout = limit;
+    options.unacknowledgedLimit = unacknowledgedLimit;
+    // A kept connection may close while the request is on its way, and such a request may not be sent again.
+    options.reuse = mayRepeat(this->route->repeatRule) ? ConnectionReuse::Allowed : ConnectionReuse::Never;
+    options.canceller = std::make_shared<HttpCallCanceller>();
+    options.isAnswer = [id = this->facts.id](const HttpHeaders &headers) { return Platform::isAnswerTo(headers, id); };
+    this->caller->canceller = options.canceller;
+    return options;
+}
+
+Asio::awaitable<AttemptOutcome> RequestRun::attempt()
+{
+    const Duration remaining = this->remaining();
+    AttemptHeaders headers;
+    headers.endpoint = this->current->choice.endpoint.id;
+    headers.account = this->account ? this->account->name : std::string();
+    headers.remaining = remaining;
+    headers.model = this->facts.model.empty() ? this->current->query.model : std::string();
+    headers.resumeAfter = this->lastEvent;
+    Duration limit = attemptTimeLimit(this->progress, remaining);
+    if (isStream(this->route->repeatRule)) {
+        const Duration expected = std::chrono::duration_cast<Duration>(this->current->choice.firstOutput * firstEventTolerance);
+        limit = std::min(limit, std::max(this->route->latencyObjective, expected));
+    }
+    HttpCallOptions options = this->callOptions(limit);
+    HttpRequest request = Platform::makeEndpointRequest(this->exchange.request(), headers);
+    auto stream = co_await this->context.client.open(this->current->choice.endpoint.address, std::move(request), std::move(options));
+    if (!stream) {
+        this->reason = stream.error().message;
+        co_return failedAttempt(stream.error());
+    }
+    co_return co_await this->readAnswer(std::move(stream).value());
+}
+
+Asio::awaitable<AttemptOutcome> RequestRun::readAnswer(std::unique_ptr<HttpResponseStream> stream)
+{
+    AttemptOutcome outcome;
+    outcome.end = AttemptEnd::Answered;
+    outcome.answer = Platform::readAnswer(stream->status(), stream->headers());
+    if (isStream(this->route->repeatRule) && isSuccess(outcome.answer)) {
+        if (this->escalate(outcome.answer)) {
+            this->state.chooser.firstOutput(this->current->ticket, this->current->query, this->current->choice, monotonicNow() - this->current->started);
+            co_return outcome;
+        }
+        const RelayEnd end = co_await this->relay(*stream);
+        this->streamComplete = end == RelayEnd::Complete;
+        if (end == RelayEnd::Broken) {
+            outcome.end = AttemptEnd::Lost;
+        }
+        co_return outcome;
+    }
+    HeldAnswer answer;
+    answer.status = stream->status();
+    answer.headers = Platform::callerAnswerHeaders(stream->headers());
+    while (true) {
+        auto bytes = co_await stream->readSome();
+        if (!bytes || answer.body.size() > maxAnswerBytes) {
+            outcome.end = AttemptEnd::Lost;
+            this->reason = bytes ? "answer_too_large" : bytes.error().message;
+            co_return outcome;
+        }
+        if (bytes.value().empty()) {
+            break;
+        }
+        answer.body += bytes.value();
+    }
+    this->firstOutputAt = monotonicNow();
+    this->current->firstOutput = *this->firstOutputAt - this->current->started;
+    if (isSuccess(outcome.answer)) {
+        this->state.chooser.firstOutput(this->current->ticket, this->current->query, this->current->choice, *this->firstOutputAt - this->current->started);
+    }
+    this->held = std::move(answer);
+    co_return outcome;
+}
+
+Asio::awaitable<RequestRun::RelayEnd> RequestRun::relay(HttpResponseStream &stream)
+{
+    EventSplitter splitter;
+    std::int64_t events = 0;
+    MonotonicTime firstEventAt;
+    const Duration pauseLimit = std::chrono::duration_cast<Duration>(this->route->pauseObjective * pauseTolerance);
+    bool isFirst = true;
+    while (true) {
+        if (!isFirst) {
+            stream.setIdleTimeout(std::min(pauseLimit, this->remaining()));
+        }
+        auto bytes = co_await stream.readSome();
+        if (this->caller->gone) {
+            co_return RelayEnd::CallerGone;
+        }
+        if (!bytes) {
+            this->reason = bytes.error().message;
+            co_return RelayEnd::Broken;
+        }
+        if (bytes.value().empty()) {
+            this->recordOutputSpeed(events, monotonicNow() - firstEventAt);
+            co_return splitter.hasPartialEvent() ? RelayEnd::Broken : RelayEnd::Complete;
+        }
+        auto complete = splitter.feed(bytes.value());
+        if (!complete) {
+            this->reason = complete.error().code;
+            co_return RelayEnd::Broken;
+        }
+        std::string output;
+        events += static_cast<std::int64_t>(complete.value().size());
+        for (const RawEvent &event : complete.value()) {
+            if (event.id && this->lastEvent && *event.id <= *this->lastEvent) {
+                continue;
+            }
+            output += event.bytes;
+            if (event.id) {
+                this->lastEvent = event.id;
+            }
+        }
+        if (output.empty()) {
+            continue;
+        }
+        if (isFirst) {
+            isFirst = false;
+            const MonotonicTime now = monotonicNow();
+            firstEventAt = now;
+            this->current->firstOutput = now - this->current->started;
+            this->state.chooser.firstOutput(this->current->ticket, this->current->query, this->current->choice, now - this->current->started);
+            if (!this->firstOutputAt) {
+                this->firstOutputAt = now;
+            }
+        }
+        if (!this->answerStarted) {
+            this->answerStarted = true;
+            this->status = stream.status();
+            co_await this->exchange.startStream(stream.status(), Platform::callerAnswerHeaders(stream.headers()));
+        }
+        const bool isWritten = co_await this->exchange.writeChunk(std::move(output));
+        if (!isWritten) {
+            this->caller->gone = true;
+            co_return RelayEnd::CallerGone;
+        }
+    }
+}
+
+void RequestRun::recordOutputSpeed(std::int64_t events, Duration elapsed)
+{
+    const ServiceProperties *properties = this->routes->findService(this->service);
+    if (properties && properties->engine && events > 1) {
+        const std::int64_t tokens = (events - 1) * properties->engine->tokensPerEvent;
+        this->state.chooser.speeds().recordOutput(this->service, this->current->query.model, tokens, elapsed);
+    }
+}
+
+RetryMeans RequestRun::retryMeans()
+{
+    RetryMeans means;
+    means.remaining = this->remaining();
+    for (const EndpointEntry *endpoint : this->candidates()) {
+        means.hasEndpoint = means.hasEndpoint || !this->tried.contains(endpoint->id);
+    }
+    means.hasBudget = hasRetry(this->state.retryBudget(this->service), monotonicNow());
+    return means;
+}
+
+Asio::awaitable<void> RequestRun::finish(NextStep step)
+{
+    if (step == NextStep::Deliver && this->held) {
+        HttpResponse response;
+        response.status = this->held->status;
+        response.headers = std::move(this->held->headers);
+        response.body = std::move(this->held->body);
+        this->status = response.status;
+        this->answerStarted = true;
+        co_await this->exchange.respond(std::move(response));
+        co_return;
+    }
+    const std::string cause = this->reason.empty() ? nextStepName(step) : this->reason;
+    const Duration retryAfter = step == NextStep::RefuseNotRun ? this->retryDelay() : Duration::zero();
+    co_await this->answerSelf(stepStatus(step), cause, retryAfter);
+}
+
+Asio::awaitable<void> RequestRun::answerSelf(int answerStatus, std::string cause, Duration retryAfter)
+{
+    HttpResponse response;
+    response.status = answerStatus;
+    response.headers = Platform::ownAnswerHeaders(this->facts.id, retryAfter);
+    response.body = errorBody(cause);
+    this->status = answerStatus;
+    this->reason = std::move(cause);
+    co_await this->exchange.respond(std::move(response));
+}
+
+Duration RequestRun::remaining() const
+{
+    return std::max(Duration::zero(), this->deadline - monotonicNow());
+}
+
+Duration RequestRun::untilObjective() const
+{
+    return std::max(Duration::zero(), this->started + this->route->latencyObjective - monotonicNow());
+}
+
+// A spread keeps refused callers from returning together.
+Duration RequestRun::retryDelay()
+{
+    std::uniform_int_distribution<std::int64_t> delay(minRetryDelay.count(), maxRetryDelay.count());
+    return Duration(delay(this->state.random));
+}
+
+void RequestRun::logAttempt(const AttemptOutcome &outcome, NextStep step) const
+{
+    if (step == NextStep::Deliver && outcome.end == AttemptEnd::Answered && isSuccess(outcome.answer)) {
+        return;
+    }
+    const EndpointLoad &load = this->state.chooser.loads().find(this->current->choice.endpoint.id);
+    logEvent(LogLevel::Info,
+             "attempt.failed",
+             {{"request", this->facts.id},
+              {"endpoint", this->current->choice.endpoint.id},
+              {"model", this->current->query.model},
+              {"end", attemptEndName(outcome.end)},
+              {"status", outcome.answer.status},
+              {"not_run", outcome.answer.notRun},
+              {"detail", this->reason},
+              {"elapsed_ms", toMilliseconds(monotonicNow() - this->current->started)},
+              {"remaining_ms", toMilliseconds(this->remaining())},
+              {"possible_runs", this->progress.possibleRuns},
+              {"failure_share", load.failureShare},
+              {"next", nextStepName(step)}});
+}
+
+void RequestRun::logEscalation() const
+{
+    logEvent(LogLevel::Info,
+             "answer.escalated",
+             {{"request", this->facts.id},
+              {"from", this->current->query.model},
+              {"to", this->route->models[*this->model]},
+              {"confidence", this->confidence.value_or(-1)},
+              {"elapsed_ms", toMilliseconds(monotonicNow() - this->started)}});
+}
+
+void RequestRun::logEnd() const
+{
+    const MonotonicTime now = monotonicNow();
+    nlohmann::ordered_json fields = {{"request", this->facts.id},
+                                     {"route", this->route ? this->route->name : ""},
+                                     {"account", this->account ? this->account->name : ""},
+                                     {"status", this->status},
+                                     {"attempts", this->progress.arrivals},
+                                     {"elapsed_ms", toMilliseconds(now - this->started)}};
+    if (this->firstOutputAt) {
+        fields["first_output_ms"] = toMilliseconds(*this->firstOutputAt - this->started);
+    }
+    if (this->current) {
+        fields["endpoint"] = this->current->choice.endpoint.id;
+        fields["version"] = this->current->choice.endpoint.version;
+        fields["model"] = this->current->query.model;
+        fields["expected_ms"] = toMilliseconds(this->current->choice.firstOutput);
+        fields["uncached_tokens"] = this->current->choice.uncachedTokens;
+    }
+    if (this->confidence) {
+        fields["confidence"] = *this->confidence;
+    }
+    if (this->routes) {
+        fields["configuration"] = this->routes->configuration().version;
+    }
+    if (!this->reason.empty()) {
+        fields["reason"] = this->reason;
+    }
+    logEvent(LogLevel::Info, "request.ended", fields);
+    this->context.metrics.recordRequest(this->route ? this->route->name : "none", this->status, this->caller->gone, now - this->started);
+    if (this->firstOutputAt) {
+        this->context.metrics.recordFirstOutput(this->route ? this->route->name : "none", *this->firstOutputAt - this->started);
+    }
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Services/Entry/main.cpp
@@ -0,0 +1,63 @@
+#include "EntryService.h"
+#include "EntrySettings.h"
+#include "LibCore/Log.h"
+#include "LibSettings/SettingsReader.h"
+
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace
+{
+constexpr int exitFindings = 1;
+constexpr int exitFailure = 3;
+/// Names the settings file where the command line does not.
+constexpr const char *settingsVariable = "GODWITFORK_CONFIG";
+
+int runEntry(int argc, char **argv)
+{
+    using namespace Godwitfork;
+    const char *fromEnvironment = std::getenv(settingsVariable);
+    TCLAP::CmdLine command("godwitfork entry: the router on the users' platform", ' ', "0.1");
+    TCLAP::ValueArg<std::string> settingsFile(
+        "", "settings", "YAML file with the process settings", false, fromEnvironment ? fromEnvironment : "", "file", command);
+    TCLAP::SwitchArg check("", "check-settings", "Report all mistakes in the settings and exit", command);
+    TCLAP::SwitchArg print("", "print-settings", "Print the settings in force and exit", command);
+    command.parse(argc, argv);
+    if (settingsFile.getValue().empty()) {
+        std::cerr << "godwitfork-entry: no settings: use --settings or set " << settingsVariable << "\n";
+        return exitFindings;
+    }
+    Findings findings;
+    const EntrySettings settings = parseEntrySettings(settingsFile.getValue(), readFile(settingsFile.getValue()), findings);
+    if (!findings.isEmpty()) {
+        std::cerr << findings.toText();
+        return exitFindings;
+    }
+    if (print.getValue()) {
+        std::cout << printEntrySettings(settings);
+        return 0;
+    }
+    if (check.getValue()) {
+        return 0;
+    }
+    // A caller that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    startLog("godwitfork-entry", settings.instance, settings.logLevel);
+    EntryService service(settings, settingsFile.getValue());
+    service.run();
+    return 0;
+}
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return runEntry(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << "godwitfork-entry: " << error.what() << "\n";
+        return exitFailure;
+    }
+}
--- a/Tests/LibAdministration/TestAdministrationApi.cpp
+++ b/Tests/LibAdministration/TestAdministrationApi.cpp
@@ -47,6 +47,10 @@
     {
     }
 
+    void onCallerGone(std::function<void()>) override
+    {
+    }
+
     HttpRequest received;
     HttpResponse answer;
 };
--- a/Tests/LibRouting/TestRetry.cpp
+++ b/Tests/LibRouting/TestRetry.cpp
@@ -31,7 +31,7 @@
             const auto isWithin = [&](auto span) { return [&, span](MonotonicTime time) { return now - time < span; }; };
             const auto recentRequests = std::count_if(requests.begin(), requests.end(), isWithin(std::chrono::seconds(10)));
             const auto recentRetries = std::count_if(retries.begin(), retries.end(), isWithin(std::chrono::seconds(9)));
-            RC_ASSERT(static_cast<double>(recentRetries) <= RetryBudget::fixedAllowance + 0.1 * static_cast<double>(recentRequests));
+            RC_ASSERT(static_cast<double>(recentRetries) <= RetryRule().allowance + RetryRule().share * static_cast<double>(recentRequests));
         }
     }));
 }
