Judge stalled streams by the endpoint's other output and price the delay of others

Escalations did not count that a long prompt delays every stream beside it. Ruled out: longer fixed limits alone, because silent connections then hold their callers.

--- a/Libraries/LibGateway/EndpointLoads.cpp
+++ b/Libraries/LibGateway/EndpointLoads.cpp
@@ -41,6 +41,11 @@
     }
 }
 
+void EndpointLoads::recordOutput(const std::string &endpoint, MonotonicTime now)
+{
+    this->loads[endpoint].lastOutput = now;
+}
+
 void EndpointLoads::end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now)
 {
     EndpointLoad &load = this->loads[ticket.endpoint];
--- a/Libraries/LibGateway/EndpointLoads.h
+++ b/Libraries/LibGateway/EndpointLoads.h
@@ -39,6 +39,8 @@
     double failureShare = 0;
     int consecutiveSilences = 0;
     MonotonicTime avoidUntil;
+    /// Newest output of any own request.
+    MonotonicTime lastOutput;
 };
 
 /// One request at an endpoint; kept until `end`.
@@ -56,6 +58,7 @@
     LoadTicket begin(const EndpointEntry &endpoint, Duration expectedPrompt);
     /// The first output arrived; `expected` is the time that was predicted for it.
     void firstOutput(LoadTicket &ticket, Duration elapsed, Duration expected);
+    void recordOutput(const std::string &endpoint, MonotonicTime now);
     void end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now);
 
     /// A load without history for an unknown endpoint.
--- a/Libraries/LibGateway/ModelLadder.cpp
+++ b/Libraries/LibGateway/ModelLadder.cpp
@@ -23,6 +23,9 @@
 /// Part of the remaining time within which an answer is expected to be complete.
 constexpr double finishShare = 0.85;
 
+/// Value that one request loses if it is delayed by a whole latency objective.
+constexpr double delayCost = 0.15;
+
 double ratio(Duration part, Duration whole)
 {
     return whole > Duration::zero() ? static_cast<double>(part.count()) / static_cast<double>(whole.count()) : 2;
@@ -44,6 +47,12 @@
     return 1 - late * (1 - lateValue);
 }
 
+/// Value that the requests beside lose while the engine reads this prompt.
+double delayOfOthers(const ModelOption &option, const LadderTimes &times)
+{
+    return delayCost * option.requestsBeside * ratio(option.promptTime, times.latencyObjective);
+}
+
 /// Probability that a larger model's answer is good where the current one's is good with probability `accepted`. Models
 /// agree on what is hard, so the larger one helps with a part of what the smaller one fails at.
 double improved(double accepted, double currentQuality, double largerQuality)
@@ -94,7 +103,7 @@
     std::optional<std::size_t> best;
     for (std::size_t i = current + 1; i < options.size(); ++i) {
         const double good = improved(accepted, options[current].quality, options[i].quality);
-        const double value = good * timeliness(options[i], times) - dearestCost * options[i].relativeCost;
+        const double value = good * timeliness(options[i], times) - dearestCost * options[i].relativeCost - delayOfOthers(options[i], times);
         if (value > bestValue) {
             bestValue = value;
             best = i;
--- a/Libraries/LibGateway/ModelLadder.h
+++ b/Libraries/LibGateway/ModelLadder.h
@@ -39,9 +39,14 @@
     double relativeCost = 1;
     Duration firstOutput = Duration::zero();
     Duration lastOutput = Duration::zero();
+    /// Time for which the engine reads the request's prompt, and the requests that it delays meanwhile.
+    Duration promptTime = Duration::zero();
+    int requestsBeside = 0;
 };
 
 struct LadderTimes {
+    /// Time within which a first output is on time, from the request's start.
+    Duration latencyObjective = Duration::zero();
     /// Time left until the first output is late.
     Duration untilObjective = Duration::zero();
     /// Time left until the final answer is due.
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -52,7 +52,7 @@
     , settingsText(readFile(this->settingsFile))
     , client(this->context)
     , catalog(this->client, this->state.settings.store, storeTimeout)
-    , requestContext {this->state, this->client, this->metrics}
+    , requestContext {this->context, this->state, this->client, this->metrics}
     , peers(this->context, this->client, this->state)
     , callers(
           this->context,
--- a/Services/Entry/RequestRun.cpp
+++ b/Services/Entry/RequestRun.cpp
@@ -2,9 +2,15 @@
 
 #include "LibCore/Digest.h"
 #include "LibCore/Log.h"
+#include "LibGateway/StallRules.h"
 #include "LibHttp/EventSplitter.h"
 #include "RequestHeaders.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -24,10 +30,7 @@
 constexpr Duration answerMargin = std::chrono::milliseconds(10);
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
 constexpr std::size_t maxAnswerBytes = std::size_t {16} * 1024 * 1024;
-/// Pause after which a silent stream counts as broken, in multiples of the pause that is still on time.
-constexpr double pauseTolerance = 1.5;
-/// Time to the first event after which an engine counts as hanging, in multiples of the expected time.
-constexpr double firstEventTolerance = 3;
+constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
 /// Answers that took this many times longer than expected count as slow.
 constexpr int slowFactor = 3;
 /// Shorter expectations scatter too widely to tell slow answers from others.
@@ -246,7 +249,7 @@
 
 LadderTimes RequestRun::ladderTimes() const
 {
-    return {this->untilObjective(), this->remaining()};
+    return {this->route->latencyObjective, this->untilObjective(), this->remaining()};
 }
 
 std::vector<ModelOption> RequestRun::modelOptions() const
@@ -271,6 +274,11 @@
         option.quality = this->state.confidences.quality(this->service, query.model, static_cast<double>(i + 1) / static_cast<double>(count));
         option.relativeCost = dearest > 0 ? costs[query.model] / dearest : 0;
         option.firstOutput = choice ? choice->firstOutput : this->remaining();
+        if (choice) {
+            const EndpointLoad &load = this->state.chooser.loads().find(choice->endpoint.id);
+            option.promptTime = choice->promptTime;
+            option.requestsBeside = load.running + load.peerRunning;
+        }
         option.lastOutput = option.firstOutput + this->state.chooser.speeds().outputTime(this->service, query.model, this->expectedOutput());
         options.push_back(option);
     }
@@ -314,6 +322,7 @@
     next.choice = std::move(*choice);
     next.ticket = this->state.chooser.begin(next.query, next.choice);
     next.started = monotonicNow();
+    next.lastEventAt = next.started;
     this->tried.insert(next.choice.endpoint.id);
     this->current = std::move(next);
     return true;
@@ -350,19 +359,62 @@
     headers.remaining = remaining;
     headers.model = this->facts.model.empty() ? this->current->query.model : std::string();
     headers.resumeAfter = this->lastEvent;
-    Duration limit = attemptTimeLimit(this->progress, remaining);
-    if (isStream(this->route->repeatRule)) {
-        const Duration expected = std::chrono::duration_cast<Duration>(this->current->choice.firstOutput * firstEventTolerance);
-        limit = std::min(limit, std::max(this->route->latencyObjective, expected));
-    }
+    const Duration limit = attemptTimeLimit(this->progress, remaining);
     HttpCallOptions options = this->callOptions(limit);
     HttpRequest request = Platform::makeEndpointRequest(this->exchange.request(), headers);
+    this->stalled = false;
+    const std::shared_ptr<bool> ended = isStream(this->route->repeatRule) ? this->watchForStall() : std::make_shared<bool>();
     auto stream = co_await this->context.client.open(this->current->choice.endpoint.address, std::move(request), std::move(options));
-    if (!stream) {
+    AttemptOutcome outcome;
+    if (stream) {
+        outcome = co_await this->readAnswer(std::move(stream).value());
+    } else {
         this->reason = stream.error().message;
-        co_return failedAttempt(stream.error());
+        outcome = failedAttempt(stream.error());
+    }
+    *ended = true;
+    if (this->stalled) {
+        this->reason = "endpoint_stalled";
+        outcome.end = AttemptEnd::TimedOut;
     }
-    co_return co_await this->readAnswer(std::move(stream).value());
+    co_return outcome;
+}
+
+// The run outlives the watch: the flag is set before the attempt, and with it the run, can end.
+std::shared_ptr<bool> RequestRun::watchForStall()
+{
+    auto ended = std::make_shared<bool>(false);
+    auto watch = [this, ended]() -> Asio::awaitable<void> {
+        Asio::steady_timer timer(this->context.context);
+        while (true) {
+            timer.expires_after(stallCheckInterval);
+            boost::system::error_code ignored;
+            co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+            if (*ended) {
+                co_return;
+            }
+            if (this->isAttemptStalled()) {
+                this->stalled = true;
+                this->caller->canceller->cancel();
+                co_return;
+            }
+        }
+    };
+    Asio::co_spawn(this->context.context, std::move(watch), Asio::detached);
+    return ended;
+}
+
+bool RequestRun::isAttemptStalled() const
+{
+    const MonotonicTime now = monotonicNow();
+    StallEvidence evidence;
+    evidence.hasFirstEvent = this->current->firstOutput.has_value();
+    evidence.silence = now - this->current->lastEventAt;
+    const EndpointLoad &load = this->state.chooser.loads().find(this->current->choice.endpoint.id);
+    if (load.lastOutput != MonotonicTime()) {
+        evidence.sinceEndpointOutput = now - load.lastOutput;
+    }
+    return isStalled(evidence, {this->current->choice.firstOutput, this->route->latencyObjective, this->route->pauseObjective});
 }
 
 Asio::awaitable<AttemptOutcome> RequestRun::readAnswer(std::unique_ptr<HttpResponseStream> stream)
@@ -411,12 +463,9 @@
     EventSplitter splitter;
     std::int64_t events = 0;
     MonotonicTime firstEventAt;
-    const Duration pauseLimit = std::chrono::duration_cast<Duration>(this->route->pauseObjective * pauseTolerance);
     bool isFirst = true;
     while (true) {
-        if (!isFirst) {
-            stream.setIdleTimeout(std::min(pauseLimit, this->remaining()));
-        }
+        stream.setIdleTimeout(this->remaining());
         auto bytes = co_await stream.readSome();
         if (this->caller->gone) {
             co_return RelayEnd::CallerGone;
@@ -434,6 +483,10 @@
             this->reason = complete.error().code;
             co_return RelayEnd::Broken;
         }
+        if (!complete.value().empty()) {
+            this->current->lastEventAt = monotonicNow();
+            this->state.chooser.loads().recordOutput(this->current->choice.endpoint.id, this->current->lastEventAt);
+        }
         std::string output;
         events += static_cast<std::int64_t>(complete.value().size());
         for (const RawEvent &event : complete.value()) {
--- a/Services/Entry/RequestRun.h
+++ b/Services/Entry/RequestRun.h
@@ -17,6 +17,7 @@
 
 /// What all requests of the process share.
 struct EntryContext {
+    boost::asio::io_context &context;
     EntryState &state;
     HttpClient &client;
     EntryMetrics &metrics;
@@ -36,6 +37,8 @@
     MonotonicTime started;
     /// Time to the first output, once it arrived.
     std::optional<Duration> firstOutput;
+    /// Time of the last event, or of the start.
+    MonotonicTime lastEventAt;
 };
 
 /// Serves one request of a caller: checks it, tries endpoints, and passes the answer on.
@@ -59,6 +62,9 @@
     boost::asio::awaitable<bool> checkRequest();
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<AttemptOutcome> attempt();
+    /// Cancels the current attempt once it is stalled; checked until the returned flag is set.
+    std::shared_ptr<bool> watchForStall();
+    bool isAttemptStalled() const;
     boost::asio::awaitable<AttemptOutcome> readAnswer(std::unique_ptr<HttpResponseStream> stream);
     boost::asio::awaitable<RelayEnd> relay(HttpResponseStream &stream);
     boost::asio::awaitable<void> answerSelf(int status, std::string reason, Duration retryAfter);
@@ -114,6 +120,8 @@
     std::optional<std::size_t> model;
     /// The current answer is dropped for one of a larger model.
     bool escalating = false;
+    /// The current attempt was cancelled because it stalled.
+    bool stalled = false;
     int status = 0;
     std::string reason;
 };
--- /dev/null
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -0,0 +1,57 @@
+#include "LibGateway/PeerReport.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace Godwitfork;
+using namespace std::chrono_literals;
+
+namespace
+{
+PeerReport fullReport()
+{
+    PeerReport report;
+    report.instance = "entry-1";
+    report.address = "10.0.0.1:7000";
+    report.known = {"10.0.0.2:7000"};
+    report.configuration = 12;
+    report.endpoints["e1"] = {3, 450ms};
+    report.leaving = {{"e2", 1700000000000}};
+    TrialReport trial;
+    trial.service = "pool";
+    trial.target = "v2";
+    trial.state = RolloutState::InProgress;
+    trial.age = 1500ms;
+    trial.observations.candidateByRoute["r"] = {5, 1, 2};
+    trial.observations.candidateByEndpoint["e1"] = {5, 1, 2};
+    trial.observations.stable = {50, 1, 0};
+    report.trials = {trial};
+    return report;
+}
+} // namespace
+
+TEST_CASE("A report survives its encoding", "[peer]")
+{
+    const auto decoded = decodePeerReport(encodePeerReport(fullReport()));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == fullReport());
+}
+
+TEST_CASE("Malformed reports fail and do not throw", "[peer]")
+{
+    // Guards against a peer of another release, or a damaged message, that ends the process.
+    const std::string bytes = encodePeerReport(fullReport());
+    std::mt19937_64 random(20261204);
+    int failures = 0;
+    for (int i = 0; i < 5000; ++i) {
+        std::string damaged = bytes.substr(0, random() % (bytes.size() + 1));
+        for (int j = 0; j < 3 && !damaged.empty(); ++j) {
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        }
+        failures += decodePeerReport(damaged) ? 0 : 1;
+    }
+    CHECK(failures > 0);
+    CHECK_FALSE(decodePeerReport(""));
+    CHECK_FALSE(decodePeerReport(std::string(100000, '\x81')));
+}
--- /dev/null
+++ b/Tests/Platform/TestRequestHeaders.cpp
@@ -0,0 +1,103 @@
+#include "RequestHeaders.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Godwitfork;
+using namespace std::chrono_literals;
+
+namespace
+{
+HttpRequest callerRequest()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b?x=1";
+    request.headers = {{"Host", "h.example"},
+                       {"X-Attempt-Id", "id1"},
+                       {"X-Model", "*"},
+                       {"X-Token-Usage", "1460,80"},
+                       {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+                       {"X-Deadline-Ms", "12000"},
+                       {"X-Length-Hint", "60"},
+                       {"Session", "s1"},
+                       {"Last-Event-Id", "12"},
+                       {"Authorization", "Bearer secret"},
+                       {"Connection", "keep-alive, X-Hop"},
+                       {"X-Hop", "1"},
+                       {"X-Tenant", "forged"},
+                       {"X-Cache-Retention", "forged"},
+                       {"Kv-From", "forged"},
+                       {"X-Pin-Ms", "9"},
+                       {"X-Other", "kept"}};
+    request.body = "body";
+    return request;
+}
+} // namespace
+
+TEST_CASE("A caller's request is read into facts", "[platform]")
+{
+    const GatewayRequest facts = Platform::readRequest(callerRequest());
+    CHECK(facts.id == "id1");
+    CHECK(facts.path == "/a/b");
+    CHECK(facts.key == "secret");
+    CHECK(facts.deadline == 12s);
+    CHECK(facts.model.empty());
+    CHECK(facts.promptTokens == 1460);
+    CHECK(facts.maxOutputTokens == 80);
+    CHECK(facts.expectedOutputTokens == 60);
+    CHECK(facts.promptParts.size() == 3);
+    CHECK(facts.promptParts.at(1) == PromptPart {"91bd3f06", 410});
+    CHECK(facts.resumeAfter == 12);
+}
+
+TEST_CASE("Malformed facts count as missing", "[platform]")
+{
+    HttpRequest request;
+    request.headers = {
+        {"X-Deadline-Ms", "soon"}, {"X-Token-Usage", "many"}, {"X-Prompt-Prefix", "a,b:x,c:5"}, {"Authorization", "Basic x"}, {"Last-Event-Id", "1x"}};
+    const GatewayRequest facts = Platform::readRequest(request);
+    CHECK_FALSE(facts.deadline);
+    CHECK(facts.promptTokens == 0);
+    CHECK(facts.promptParts == std::vector<PromptPart> {{"c", 5}});
+    CHECK(facts.key.empty());
+    CHECK_FALSE(facts.resumeAfter);
+}
+
+TEST_CASE("An endpoint gets neither the key nor what only the router may set", "[platform]")
+{
+    AttemptHeaders attempt;
+    attempt.endpoint = "i-1";
+    attempt.account = "shop";
+    attempt.remaining = 900ms;
+    attempt.model = "m1";
+    attempt.resumeAfter = 20;
+    const HttpRequest request = Platform::makeEndpointRequest(callerRequest(), attempt);
+    CHECK(request.target == "/a/b?x=1");
+    CHECK(request.body == "body");
+    for (const char *name : {"Authorization", "X-Cache-Retention", "Kv-From", "X-Pin-Ms", "X-Hop", "Connection"}) {
+        CHECK(headerValue(request.headers, name).empty());
+    }
+    CHECK(headerValue(request.headers, "X-Tenant") == "shop");
+    CHECK(headerValue(request.headers, "X-Target-Replica") == "i-1");
+    CHECK(headerValue(request.headers, "X-Deadline-Ms") == "900");
+    CHECK(headerValue(request.headers, "X-Model") == "m1");
+    CHECK(headerValue(request.headers, "Last-Event-Id") == "20");
+    CHECK(headerValue(request.headers, "X-Attempt-Id") == "id1");
+    CHECK(headerValue(request.headers, "X-Other") == "kept");
+    CHECK(std::count_if(request.headers.begin(), request.headers.end(), [](const HttpHeader &header) { return header.name == "X-Model"; }) == 1);
+}
+
+TEST_CASE("An answer to another request is told by its id", "[platform]")
+{
+    // Pattern: an endpoint's late second answer stands where the next answer is expected.
+    CHECK(Platform::isAnswerTo({{"X-Attempt-Id", "id1"}}, "id1"));
+    CHECK_FALSE(Platform::isAnswerTo({{"X-Attempt-Id", "id0"}}, "id1"));
+}
+
+TEST_CASE("Only the endpoint's own word says that a request did not run", "[platform]")
+{
+    CHECK(Platform::readAnswer(503, {{"X-Not-Executed", "1"}}).notRun);
+    CHECK(Platform::readAnswer(421, {}).notRun);
+    CHECK_FALSE(Platform::readAnswer(503, {}).notRun);
+    CHECK(Platform::readAnswer(200, {{"X-Response-Signature", "x"}, {"X-Confidence", "73"}}).confidence == 73);
+}
