Follow the store through hubs; bound the log and never block on it

Cause: each instance watched three kinds; every registration of an endpoint woke all of them. Ruled out: longer waits, since changes end the watches, not their waits; following for the configuration too, whose 100 KB would fill a small hub's link. Change: CatalogRelay: two hubs, chosen among the largest instances, pass on what their own watches return; who loses its hub watches the store at once. The fixed retry allowance is divided by the live instances. The log has a budget that keeps failures and changes of belief before routine lines, and its sink drops a line rather than wait for a reader.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -1,13 +1,16 @@
 #include "LibCore/Log.h"
 
+#include "LibCore/LogBudget.h"
+#include "LibCore/NonBlockingSink.h"
 #include "LibCore/Time.h"
 
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <unistd.h>
 
 namespace Godwitfork
 {
@@ -18,6 +21,9 @@
     std::string process;
     std::string instance;
     std::shared_ptr<spdlog::logger> logger;
+    std::shared_ptr<NonBlockingSink> sink;
+    std::mutex budgetMutex;
+    std::optional<LogBudget> budget;
 };
 
 LogState &logState()
@@ -62,18 +68,17 @@
     LogState &state = logState();
     state.process = std::move(process);
     state.instance = std::move(instance);
-    state.logger = std::make_shared<spdlog::logger>("godwitfork", std::make_shared<spdlog::sinks::stdout_sink_mt>());
+    state.sink = std::make_shared<NonBlockingSink>(STDOUT_FILENO);
+    state.logger = std::make_shared<spdlog::logger>("godwitfork", state.sink);
     state.logger->set_pattern("%v");
     state.logger->set_level(toSpdlog(level));
     state.logger->flush_on(spdlog::level::info);
 }
 
-void logEvent(LogLevel level, std::string_view event, const nlohmann::ordered_json &fields)
+namespace
+{
+void writeLine(const LogState &state, LogLevel level, std::string_view event, const nlohmann::ordered_json &fields)
 {
-    const LogState &state = logState();
-    if (!state.logger || !state.logger->should_log(toSpdlog(level))) {
-        return;
-    }
     nlohmann::ordered_json line;
     line["time"] = wallNow().time_since_epoch().count();
     line["level"] = logLevelName(level);
@@ -85,6 +90,44 @@
     state.logger->log(toSpdlog(level), line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
 }
 
+/// Whether the budget allows a line, and how many were dropped before it.
+std::pair<bool, std::uint64_t> takeLine(LogState &state, LogLevel level)
+{
+    const std::lock_guard lock(state.budgetMutex);
+    if (!state.budget) {
+        return {true, 0};
+    }
+    const LogImportance importance = level == LogLevel::Debug || level == LogLevel::Info ? LogImportance::Routine : LogImportance::Important;
+    if (!state.budget->take(importance, monotonicNow())) {
+        return {false, 0};
+    }
+    return {true, state.budget->takeDropped() + state.sink->takeDropped()};
+}
+} // namespace
+
+void limitLog(double linesPerSecond, double burst)
+{
+    LogState &state = logState();
+    const std::lock_guard lock(state.budgetMutex);
+    state.budget.emplace(linesPerSecond, burst);
+}
+
+void logEvent(LogLevel level, std::string_view event, const nlohmann::ordered_json &fields)
+{
+    LogState &state = logState();
+    if (!state.logger || !state.logger->should_log(toSpdlog(level))) {
+        return;
+    }
+    const auto [isAllowed, dropped] = takeLine(state, level);
+    if (!isAllowed) {
+        return;
+    }
+    if (dropped > 0) {
+        writeLine(state, LogLevel::Warning, "log.dropped", {{"lines", dropped}});
+    }
+    writeLine(state, level, event, fields);
+}
+
 void logEvent(LogLevel level, std::string_view event)
 {
     logEvent(level, event, nlohmann::ordered_json::object());
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -22,6 +22,10 @@
 void logEvent(LogLevel level, std::string_view event, const nlohmann::ordered_json &fields);
 void logEvent(LogLevel level, std::string_view event);
 
+/// Bounds the lines of this process from now on: routine lines (info and below) are dropped before the others, and a line
+/// `log.dropped` tells how many. Without a call there is no bound.
+void limitLog(double linesPerSecond, double burst);
+
 /// Writes out what is buffered.
 void flushLog();
 
--- /dev/null
+++ b/Libraries/LibCore/NonBlockingSink.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+
+namespace Godwitfork
+{
+
+/// Writes lines to a file descriptor that may be a pipe whose reader has stopped. A line that cannot be written at once is
+/// dropped and counted.
+class NonBlockingSink : public spdlog::sinks::base_sink<std::mutex>
+{
+public:
+    explicit NonBlockingSink(int descriptor);
+
+    /// Lines dropped since the last call.
+    std::uint64_t takeDropped();
+
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override;
+    void flush_() override;
+
+private:
+    int descriptor;
+    std::atomic<std::uint64_t> dropped = 0;
+};
+
+} // namespace Godwitfork
--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -1,5 +1,6 @@
 #include "LibEntry/CatalogFollower.h"
 
+#include "CatalogDecoder.h"
 #include "LibCore/Log.h"
 #include "LibEntry/CatalogChanges.h"
 
@@ -18,7 +19,11 @@
 namespace
 {
 /// Wait of one watch. Each watch counts as one call at the store, and a longer one finds a silent connection later.
-constexpr Duration watchWait = std::chrono::seconds(8);
+constexpr Duration usualWatchWait = std::chrono::seconds(8);
+/// Between two looks whether the store is to be watched again.
+constexpr Duration relayCheckInterval = std::chrono::milliseconds(50);
+/// Changes kept for other instances; some seconds of a busy fleet.
+constexpr std::size_t historyPages = 200;
 constexpr Duration minBackoff = std::chrono::milliseconds(100);
 /// Keeps the calls of all instances to a store that is down far below its rates.
 constexpr Duration maxBackoff = std::chrono::milliseconds(800);
@@ -34,14 +39,18 @@
 } // namespace
 
 CatalogFollower::CatalogFollower(Asio::io_context &context, Platform::CatalogClient &client, EntryState &state, CatalogKind kind)
-    : context(context), client(client), state(state), kind(kind), backoff(minBackoff)
+    : context(context), client(client), state(state), kind(kind), latest(historyPages), watchWait(usualWatchWait), backoff(minBackoff)
 {
 }
 
 Asio::awaitable<void> CatalogFollower::run()
 {
     while (!this->stopped) {
-        if (this->revision) {
+        if (this->revision && this->relayed) {
+            Asio::steady_timer timer(this->context, relayCheckInterval);
+            boost::system::error_code ignored;
+            co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+        } else if (this->revision) {
             co_await this->watchOnce();
         } else {
             co_await this->listOnce();
@@ -67,13 +76,15 @@
     this->recordSuccess();
     this->applyList(page.value());
     this->revision = page.value().revision;
+    this->listRevision = page.value().revision;
+    this->latest.clear();
 }
 
 Asio::awaitable<void> CatalogFollower::watchOnce()
 {
     this->canceller = std::make_shared<HttpCallCanceller>();
-    const auto page = co_await this->client.watch(this->kind, *this->revision, watchWait, this->canceller);
-    if (this->stopped) {
+    const auto page = co_await this->client.watch(this->kind, *this->revision, this->watchWait, this->canceller);
+    if (this->stopped || this->relayed) {
         co_return;
     }
     if (!page) {
@@ -86,10 +97,73 @@
         co_return;
     }
     this->recordSuccess();
-    for (const CatalogChange &change : page.value().changes) {
+    if (page.value().revision != *this->revision) {
+        this->latest.add({*this->revision, page.value().revision, page.value().source});
+    }
+    this->applyPage(page.value());
+}
+
+void CatalogFollower::applyPage(const CatalogPage &page)
+{
+    for (const CatalogChange &change : page.changes) {
         this->applyChange(change);
     }
-    this->revision = page.value().revision;
+    this->revision = page.revision;
+}
+
+CatalogKind CatalogFollower::kindOfObjects() const
+{
+    return this->kind;
+}
+
+std::optional<CatalogRevision> CatalogFollower::position() const
+{
+    return this->revision;
+}
+
+CatalogRevision CatalogFollower::listedAt() const
+{
+    return this->listRevision;
+}
+
+MonotonicTime CatalogFollower::lastConfirmed() const
+{
+    return this->confirmed;
+}
+
+const CatalogHistory &CatalogFollower::history() const
+{
+    return this->latest;
+}
+
+void CatalogFollower::setWatchWait(Duration wait)
+{
+    this->watchWait = wait;
+}
+
+void CatalogFollower::setRelayed(bool isRelayed)
+{
+    this->relayed = isRelayed;
+    if (isRelayed && this->canceller) {
+        this->canceller->cancel();
+    }
+}
+
+bool CatalogFollower::applyRelayed(const HistoryPage &page)
+{
+    if (!this->revision || page.from > *this->revision) {
+        return false;
+    }
+    if (page.to <= *this->revision) {
+        return true;
+    }
+    const auto decoded = Platform::decodeEvents(this->kind, page.body);
+    if (!decoded) {
+        logEvent(LogLevel::Warning, "relay.malformed", failureFields(this->kind, decoded.error()));
+        return false;
+    }
+    this->applyPage(decoded.value());
+    return true;
 }
 
 Asio::awaitable<void> CatalogFollower::pauseAfterFailure(const CatalogError &error)
@@ -108,6 +182,7 @@
 void CatalogFollower::recordSuccess()
 {
     this->backoff = minBackoff;
+    this->confirmed = monotonicNow();
     if (!this->failingSince) {
         return;
     }
--- a/Libraries/LibEntry/CatalogFollower.h
+++ b/Libraries/LibEntry/CatalogFollower.h
@@ -2,6 +2,7 @@
 
 #include "CatalogClient.h"
 #include "LibEntry/EntryState.h"
+#include "LibGateway/CatalogHistory.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,7 +22,23 @@
     boost::asio::awaitable<void> run();
     void stop();
 
+    CatalogKind kindOfObjects() const;
+    /// Revision up to which the objects are known; empty before the first list.
+    std::optional<CatalogRevision> position() const;
+    /// Revision of the last list.
+    CatalogRevision listedAt() const;
+    /// Time of the last answer of the store itself.
+    MonotonicTime lastConfirmed() const;
+    const CatalogHistory &history() const;
+    /// While another instance passes the changes on, the store is not watched.
+    void setRelayed(bool relayed);
+    /// Applies a page that another instance passed on. False if changes before it are missing or it is malformed.
+    bool applyRelayed(const HistoryPage &page);
+    /// Wait of one watch.
+    void setWatchWait(Duration wait);
+
 private:
+    void applyPage(const CatalogPage &page);
     boost::asio::awaitable<void> listOnce();
     boost::asio::awaitable<void> watchOnce();
     boost::asio::awaitable<void> pauseAfterFailure(const CatalogError &error);
@@ -35,6 +52,11 @@
     EntryState &state;
     CatalogKind kind;
     std::optional<CatalogRevision> revision;
+    CatalogRevision listRevision = 0;
+    MonotonicTime confirmed;
+    CatalogHistory latest;
+    Duration watchWait;
+    bool relayed = false;
     std::shared_ptr<HttpCallCanceller> canceller;
     std::optional<MonotonicTime> failingSince;
     Duration backoff;
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -30,6 +30,12 @@
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 /// A settings file may change without a signal.
 constexpr Duration settingsInterval = std::chrono::seconds(5);
+/// A version that a silent watch misses is learned from the other instances.
+constexpr Duration configurationWatchWait = std::chrono::seconds(15);
+/// Short, so that the instances which follow a hub know that it still hears from the store.
+constexpr Duration hubWatchWait = std::chrono::seconds(2);
+/// Part of the fixed retry allowance that is given out; the rest covers instances that are not known yet.
+constexpr double retryAllowanceShare = 0.5;
 /// Between two tries to write the state of a roll-out.
 constexpr Duration rolloutWritePause = std::chrono::milliseconds(400);
 
@@ -78,6 +84,19 @@
     for (const CatalogKind kind : {CatalogKind::Configuration, CatalogKind::Endpoints, CatalogKind::Rollouts}) {
         this->followers.push_back(std::make_unique<CatalogFollower>(this->context, this->catalog, this->state, kind));
     }
+    // The configuration is watched by every instance, since a large one would fill a hub's link.
+    this->followers[0]->setWatchWait(configurationWatchWait);
+    std::vector<CatalogFollower *> relayed = {this->followers[1].get(), this->followers[2].get()};
+    for (CatalogFollower *follower : relayed) {
+        follower->setWatchWait(hubWatchWait);
+    }
+    this->relay = std::make_unique<CatalogRelay>(
+        this->context,
+        this->client,
+        relayed,
+        [this] { return this->peers.relayHub(); },
+        [this](const HttpAddress &hub) { this->peers.avoidHub(hub); });
+    this->peers.setRelayHandler([this](HttpExchange &exchange) { return this->relay->serve(exchange); });
 }
 
 void EntryService::run()
@@ -90,6 +109,7 @@
     for (const auto &follower : this->followers) {
         spawn(this->context, [follower = follower.get()] { return follower->run(); });
     }
+    spawn(this->context, [this] { return this->relay->run(); });
     spawn(this->context, [this] { return this->tickLoop(); });
     spawn(this->context, [this] { return this->waitForReload(); });
     spawn(this->context, [this] { return this->waitForStop(); });
@@ -186,6 +206,13 @@
     this->isWritingRollout = false;
 }
 
+// The fixed part of the retry allowance holds for all instances together.
+void EntryService::applyFleetSize()
+{
+    const double share = this->peers.knowsFleet() ? retryAllowanceShare / this->peers.liveInstances() : 0;
+    this->state.setRetryAllowance(static_cast<double>(this->state.settings.retryAllowance) * share);
+}
+
 Asio::awaitable<void> EntryService::tickLoop()
 {
     Asio::steady_timer timer(this->context);
@@ -197,6 +224,7 @@
         const MonotonicTime now = monotonicNow();
         expireEndpoints(this->state, now);
         this->applyLimits();
+        this->applyFleetSize();
         this->state.versions.prune(now);
         this->driveRollouts(now);
         this->peers.tick(now);
--- a/Libraries/LibEntry/EntryService.h
+++ b/Libraries/LibEntry/EntryService.h
@@ -2,6 +2,7 @@
 
 #include "CatalogClient.h"
 #include "LibEntry/CatalogFollower.h"
+#include "LibEntry/CatalogRelay.h"
 #include "LibEntry/EntryMetrics.h"
 #include "LibEntry/EntryState.h"
 #include "LibEntry/PeerExchange.h"
@@ -37,6 +38,7 @@
     boost::asio::awaitable<void> waitForStop();
     boost::asio::awaitable<void> waitForReload();
     void applyLimits();
+    void applyFleetSize();
     void reloadSettings(const char *cause);
     EntryGauges gauges() const;
 
@@ -50,6 +52,7 @@
     EntryContext requestContext;
     PeerExchange peers;
     std::vector<std::unique_ptr<CatalogFollower>> followers;
+    std::unique_ptr<CatalogRelay> relay;
     HttpServer callers;
     HttpServer readiness;
     HttpServer metricsListener;
--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -83,6 +83,7 @@
     settings.metrics = readAddress(reader, "metrics_listen");
     settings.store = readAddress(reader, "store");
     settings.seeds = readSeeds(reader);
+    settings.coreShare = readFraction(reader, "core_share", settings.coreShare, 0.001, 1024);
     settings.logLevel = readLogLevel(reader);
     settings.stopLimit = readSeconds(reader, "stop_limit_s", 8, 0.5, 600);
     settings.retryRatio = readFraction(reader, "retry_ratio", settings.retryRatio, 0, 10);
@@ -110,7 +111,8 @@
     for (const HttpAddress &seed : settings.seeds) {
         out << "  - " << toText(seed) << "\n";
     }
-    out << "log_level: " << logLevelName(settings.logLevel) << "\n"
+    out << "core_share: " << settings.coreShare << "\n"
+        << "log_level: " << logLevelName(settings.logLevel) << "\n"
         << "stop_limit_s: " << seconds(settings.stopLimit) << "\n"
         << "retry_ratio: " << settings.retryRatio << "\n"
         << "retry_allowance: " << settings.retryAllowance << "\n"
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -24,6 +24,8 @@
     HttpAddress store;
     /// Peer listeners of some instances, from which the others are learned.
     std::vector<HttpAddress> seeds;
+    /// Share of a core that the process may use.
+    double coreShare = 1;
     LogLevel logLevel = LogLevel::Info;
     /// Time between SIGTERM and the end of the process.
     Duration stopLimit = std::chrono::seconds(8);
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -7,8 +7,6 @@
 {
 /// Time after a store outage within which live endpoints register again; from the platform's statement for its store.
 constexpr Duration registrationReturnTime = std::chrono::seconds(2);
-/// Instances among which the fixed part of the retry allowance is divided, as long as their number is not known.
-constexpr double assumedInstances = 16;
 /// Kept free of the allowed ratio, because windows of the instances and of the bound do not start together.
 constexpr double retryMargin = 0.85;
 } // namespace
@@ -32,12 +30,20 @@
     return this->isInformed() && !this->stopping;
 }
 
+void EntryState::setRetryAllowance(double allowance)
+{
+    this->retryAllowance = allowance;
+    for (auto &[service, budget] : this->retryBudgets) {
+        budget.rule.allowance = allowance;
+    }
+}
+
 RetryBudget &EntryState::retryBudget(const std::string &service)
 {
     const auto [budget, isNew] = this->retryBudgets.try_emplace(service);
     if (isNew) {
         budget->second.rule.share = this->settings.retryRatio * retryMargin;
-        budget->second.rule.allowance = static_cast<double>(this->settings.retryAllowance) / assumedInstances;
+        budget->second.rule.allowance = this->retryAllowance;
     }
     return budget->second;
 }
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -45,6 +45,11 @@
     bool isInformed() const;
     bool isReady() const;
     RetryBudget &retryBudget(const std::string &service);
+    /// Retries that each service is allowed besides its share of requests, at this instance.
+    void setRetryAllowance(double allowance);
+
+private:
+    double retryAllowance = 0;
 };
 
 } // namespace Godwitfork
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -1,6 +1,7 @@
 #include "LibEntry/PeerExchange.h"
 
 #include "CatalogDecoder.h"
+#include "LibCore/Digest.h"
 #include "LibCore/Log.h"
 #include "LibEntry/CatalogChanges.h"
 
@@ -37,6 +38,9 @@
 constexpr Duration loadLifetime = std::chrono::milliseconds(2500);
 
 constexpr const char *reportPath = "/report";
+constexpr const char *relayPath = "/catalog";
+/// Smaller fleets watch the store directly, which saves the hubs' work.
+constexpr std::size_t minRelayedMembers = 4;
 constexpr const char *configurationPath = "/configuration";
 
 HttpResponse refusal(int status, const std::string &code, const std::string &message)
@@ -82,7 +86,7 @@
 PeerReport PeerExchange::makeReport(MonotonicTime now) const
 {
     PeerReport report;
-    report.sender = {this->state.settings.instance, this->ownAddress()};
+    report.sender = {this->state.settings.instance, this->ownAddress(), static_cast<int>(this->state.settings.coreShare * 1000)};
     report.configuration = this->state.routes ? this->state.routes->configuration().version : 0;
     for (const auto &[id, load] : this->state.chooser.loads().all()) {
         if (load.running > 0) {
@@ -267,6 +271,9 @@
     if (path == configurationPath) {
         response.status = this->state.configurationSource.empty() ? 503 : 200;
         response.body = this->state.configurationSource;
+    } else if (path == relayPath && this->relayHandler) {
+        co_await this->relayHandler(exchange);
+        co_return;
     } else if (path == reportPath) {
         const MonotonicTime now = monotonicNow();
         auto report = decodePeerReport(exchange.request().body);
@@ -306,6 +313,45 @@
     return running;
 }
 
+std::optional<HttpAddress> PeerExchange::relayHub() const
+{
+    const MonotonicTime now = monotonicNow();
+    if (this->members.size() < minRelayedMembers || now - this->summaryAt > memberLifetime) {
+        return std::nullopt;
+    }
+    const std::vector<std::string> hubs = chooseHubs(this->members, {});
+    std::vector<HttpAddress> usable;
+    for (const std::string &hub : hubs) {
+        const HttpAddress address = parseHttpAddress(hub);
+        if (address == this->state.settings.peers) {
+            return std::nullopt;
+        }
+        const auto link = this->links.find(address);
+        if (link == this->links.end() || link->second.avoidedUntil <= now) {
+            usable.push_back(address);
+        }
+    }
+    if (usable.empty()) {
+        return std::nullopt;
+    }
+    return usable[hash64(this->state.settings.instance) % usable.size()];
+}
+
+void PeerExchange::avoidHub(const HttpAddress &hub)
+{
+    this->links[hub].avoidedUntil = monotonicNow() + hubAvoidance;
+}
+
+void PeerExchange::setRelayHandler(HttpHandler handler)
+{
+    this->relayHandler = std::move(handler);
+}
+
+bool PeerExchange::knowsFleet() const
+{
+    return !this->members.empty();
+}
+
 int PeerExchange::liveInstances() const
 {
     return std::max<int>(1, static_cast<int>(this->members.size()));
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,6 +31,14 @@
     int rankFor(const std::string &task) const;
     /// Requests of all instances that run on endpoints of a service with another version.
     int runningOutside(const std::string &service, const std::string &version) const;
+    /// Hub through which this instance follows the store; empty if it is a hub itself, or if the fleet is too small.
+    std::optional<HttpAddress> relayHub() const;
+    /// A hub that did not answer is passed over for a while.
+    void avoidHub(const HttpAddress &hub);
+    /// Serves requests for a path of the peer listener.
+    void setRelayHandler(HttpHandler handler);
+    /// Whether the number of instances is known.
+    bool knowsFleet() const;
     /// Instances heard of lately, this one included.
     int liveInstances() const;
 
@@ -57,6 +66,7 @@
     EntryState &state;
     HttpServer server;
     PeerBoard board;
+    HttpHandler relayHandler;
     std::map<HttpAddress, Link> links;
     /// From the newest summary.
     std::vector<FleetMember> members;
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -606,7 +606,7 @@
         return;
     }
     const EndpointLoad &load = this->state.chooser.loads().find(this->current->choice.endpoint.id);
-    logEvent(LogLevel::Info,
+    logEvent(LogLevel::Warning,
              "attempt.failed",
              {{"request", this->facts.id},
               {"endpoint", this->current->choice.endpoint.id},
@@ -661,7 +661,8 @@
     if (!this->reason.empty()) {
         fields["reason"] = this->reason;
     }
-    logEvent(LogLevel::Info, "request.ended", fields);
+    const bool isServed = this->status >= 200 && this->status < 300 && this->reason.empty();
+    logEvent(isServed ? LogLevel::Info : LogLevel::Warning, "request.ended", fields);
     this->context.metrics.recordRequest(this->route ? this->route->name : "none", this->status, this->caller->gone, now - this->started);
     if (this->firstOutputAt) {
         this->context.metrics.recordFirstOutput(this->route ? this->route->name : "none", *this->firstOutputAt - this->started);
--- a/Libraries/LibGateway/Catalog.h
+++ b/Libraries/LibGateway/Catalog.h
@@ -57,6 +57,8 @@
     std::vector<CatalogChange> changes;
     /// Revision up to which the page tells everything.
     CatalogRevision revision = 0;
+    /// The store's answer, for instances that follow this one; empty for lists.
+    std::string source;
 };
 
 enum class CatalogFailure {
--- /dev/null
+++ b/Libraries/LibGateway/CatalogHistory.cpp
@@ -0,0 +1,73 @@
+#include "LibGateway/CatalogHistory.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Godwitfork
+{
+
+CatalogHistory::CatalogHistory(std::size_t maxPages) : maxPages(maxPages)
+{
+}
+
+void CatalogHistory::add(HistoryPage page)
+{
+    if (!this->pages.empty() && page.from != this->pages.back().to) {
+        this->pages.clear();
+    }
+    this->pages.push_back(std::move(page));
+    if (this->pages.size() > this->maxPages) {
+        this->pages.pop_front();
+    }
+}
+
+std::optional<std::vector<HistoryPage>> CatalogHistory::since(CatalogRevision revision) const
+{
+    if (this->pages.empty() || revision < this->pages.front().from) {
+        return std::nullopt;
+    }
+    std::vector<HistoryPage> result;
+    std::copy_if(this->pages.begin(), this->pages.end(), std::back_inserter(result), [revision](const HistoryPage &page) { return page.to > revision; });
+    return result;
+}
+
+void CatalogHistory::clear()
+{
+    this->pages.clear();
+}
+
+std::string encodeRelayFrame(const RelayFrame &frame)
+{
+    nlohmann::json json = nlohmann::json::array({static_cast<int>(frame.type), static_cast<int>(frame.kind)});
+    if (frame.type == RelayFrame::Type::Page) {
+        json.push_back(frame.page.from);
+        json.push_back(frame.page.to);
+        json.push_back(frame.page.body);
+    }
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<RelayFrame> decodeRelayFrame(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    try {
+        RelayFrame frame;
+        const int type = json.at(0).get<int>();
+        const int kind = json.at(1).get<int>();
+        if (type < static_cast<int>(RelayFrame::Type::Alive) || type > static_cast<int>(RelayFrame::Type::HistoryLost)
+            || kind < static_cast<int>(CatalogKind::Configuration) || kind > static_cast<int>(CatalogKind::Rollouts)) {
+            return std::nullopt;
+        }
+        frame.type = static_cast<RelayFrame::Type>(type);
+        frame.kind = static_cast<CatalogKind>(kind);
+        if (frame.type == RelayFrame::Type::Page) {
+            frame.page = {json.at(2).get<CatalogRevision>(), json.at(3).get<CatalogRevision>(), json.at(4).get<std::string>()};
+        }
+        return frame;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Godwitfork
--- a/Libraries/LibGateway/PeerBoard.cpp
+++ b/Libraries/LibGateway/PeerBoard.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace Godwitfork
 {
@@ -89,16 +90,16 @@
 
 std::vector<std::string> chooseHubs(const std::vector<FleetMember> &members, const std::vector<std::string> &avoided)
 {
-    std::vector<std::pair<std::uint64_t, std::string>> scored;
+    std::vector<std::tuple<int, std::uint64_t, std::string>> scored;
     for (const FleetMember &member : members) {
         if (std::find(avoided.begin(), avoided.end(), member.address) == avoided.end()) {
-            scored.emplace_back(rendezvousScore(hubTask, member.address), member.address);
+            scored.emplace_back(member.capacity, rendezvousScore(hubTask, member.address), member.address);
         }
     }
     std::sort(scored.rbegin(), scored.rend());
     std::vector<std::string> hubs;
     for (std::size_t i = 0; i < std::min(hubCount, scored.size()); ++i) {
-        hubs.push_back(scored[i].second);
+        hubs.push_back(std::get<std::string>(scored[i]));
     }
     return hubs;
 }
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -133,12 +133,12 @@
 
 Json encodeMember(const FleetMember &member)
 {
-    return Json::array({member.instance, member.address});
+    return Json::array({member.instance, member.address, member.capacity});
 }
 
 FleetMember decodeMember(const Json &json)
 {
-    return {json.at(0).get<std::string>(), json.at(1).get<std::string>()};
+    return {json.at(0).get<std::string>(), json.at(1).get<std::string>(), json.at(2).get<int>()};
 }
 
 std::string toBytes(const Json &json)
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -46,6 +46,8 @@
     std::string instance;
     /// Its peer listener.
     std::string address;
+    /// Share of a core that it may use, in thousandths; hubs are chosen among the largest.
+    int capacity = 0;
 
     auto operator<=>(const FleetMember &) const = default;
 };
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -120,8 +120,14 @@
                          HttpAddress address,
                          Duration idleTimeout,
                          SharedStream stream,
-                         std::shared_ptr<OutgoingRequest> request)
-        : state(std::move(state)), address(std::move(address)), idleTimeout(idleTimeout), stream(std::move(stream)), request(std::move(request))
+                         std::shared_ptr<OutgoingRequest> request,
+                         std::shared_ptr<HttpCallCanceller> canceller)
+        : state(std::move(state))
+        , address(std::move(address))
+        , idleTimeout(idleTimeout)
+        , stream(std::move(stream))
+        , request(std::move(request))
+        , canceller(std::move(canceller))
     {
         this->startParser();
     }
@@ -196,6 +202,10 @@
             }
         }
         if (this->stream && this->parser->keep_alive() && this->buffer.size() == 0 && this->request->written) {
+            // The connection goes on to other calls, which this call's canceller must not end.
+            if (this->canceller) {
+                this->canceller->release();
+            }
             this->state->giveBack(this->address, std::move(this->stream), this->idleLimit());
         }
         co_return std::string {};
@@ -240,6 +250,7 @@
     Duration idleTimeout;
     SharedStream stream;
     std::shared_ptr<OutgoingRequest> request;
+    std::shared_ptr<HttpCallCanceller> canceller;
     Beast::flat_buffer buffer;
     std::optional<Http::response_parser<Http::buffer_body>> parser;
     HttpHeaders head;
@@ -287,6 +298,11 @@
     }
 }
 
+void HttpCallCanceller::release()
+{
+    this->closeConnection = nullptr;
+}
+
 bool HttpCallCanceller::isCancelled() const
 {
     return this->cancelled;
@@ -342,7 +358,7 @@
     // The answer is read while the request is being written: a peer may answer before it has read a long body.
     Http::async_write(
         *stream, outgoing->message, [stream, outgoing](const boost::system::error_code &writeError, std::size_t) { outgoing->written = !writeError; });
-    auto response = std::make_unique<PooledResponseStream>(state, address, options.idleTimeout, std::move(stream), outgoing);
+    auto response = std::make_unique<PooledResponseStream>(state, address, options.idleTimeout, std::move(stream), outgoing, options.canceller);
     error = co_await response->readHead();
     for (int skipped = 0; !error && options.isAnswer && !options.isAnswer(response->headers()); ++skipped) {
         if (skipped == maxSkippedAnswers) {
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -48,6 +48,8 @@
     /// Closes the call's connection; the call ends with `ConnectionLost`, or is not started.
     void cancel();
     bool isCancelled() const;
+    /// The call ended; its connection serves others.
+    void release();
 
 private:
     friend class HttpClient;
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -13,6 +13,9 @@
 {
 constexpr int exitFindings = 1;
 constexpr int exitFailure = 3;
+/// A few lines for each request of an instance of today; its core writes them in a small part of its time.
+constexpr double logLinesPerSecond = 150;
+constexpr double logBurst = 500;
 /// Names the settings file where the command line does not.
 constexpr const char *settingsVariable = "GODWITFORK_CONFIG";
 
@@ -46,6 +49,7 @@
     // A caller that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     startLog("godwitfork-entry", settings.instance, settings.logLevel);
+    limitLog(logLinesPerSecond, logBurst);
     EntryService service(settings, settingsFile.getValue());
     service.run();
     return 0;
--- a/Tests/LibEntry/EntryFixture.cpp
+++ b/Tests/LibEntry/EntryFixture.cpp
@@ -16,7 +16,6 @@
     settings.instance = "entry-1";
     settings.failureDomain = "a";
     settings.retryRatio = 1;
-    settings.retryAllowance = 100;
     return settings;
 }
 
@@ -44,6 +43,7 @@
           refusal)
 {
     this->router.start();
+    this->state.setRetryAllowance(100);
     this->state.endpointsKnown = true;
     this->state.rolloutsKnown = true;
 }
--- /dev/null
+++ b/Tests/LibGateway/TestCatalogHistory.cpp
@@ -0,0 +1,43 @@
+#include "LibGateway/CatalogHistory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Godwitfork;
+
+TEST_CASE("A follower gets every page that it lacks", "[history]")
+{
+    CatalogHistory history(10);
+    history.add({5, 8, "a"});
+    history.add({8, 9, "b"});
+    CHECK(history.since(5)->size() == 2);
+    CHECK(history.since(8)->size() == 1);
+    // A list in between may end inside a page.
+    CHECK(history.since(7)->size() == 2);
+    CHECK(history.since(9)->empty());
+    CHECK(history.since(20)->empty());
+}
+
+TEST_CASE("A follower that is too far behind is told so", "[history]")
+{
+    // Pattern: the store forgets its history, or a follower was cut off for long.
+    CatalogHistory history(2);
+    CHECK_FALSE(history.since(3));
+    history.add({1, 2, "a"});
+    history.add({2, 3, "b"});
+    history.add({3, 4, "c"});
+    CHECK_FALSE(history.since(1));
+    CHECK(history.since(2)->size() == 2);
+    history.add({7, 8, "d"});
+    CHECK_FALSE(history.since(4));
+    CHECK(history.since(7)->size() == 1);
+}
+
+TEST_CASE("A relayed page survives its encoding and damage is noticed", "[history]")
+{
+    const RelayFrame frame {RelayFrame::Type::Page, CatalogKind::Rollouts, {3, 9, "{\"events\":[]}"}};
+    CHECK(decodeRelayFrame(encodeRelayFrame(frame)) == frame);
+    CHECK(decodeRelayFrame(encodeRelayFrame(RelayFrame())) == RelayFrame());
+    for (const std::string text : {"", "[]", "[9,0]", "[0,9]", "[1,0,1]", "{}", "[1,0,\"x\",2,\"y\"]"}) {
+        CHECK_FALSE(decodeRelayFrame(text));
+    }
+}
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -117,3 +117,59 @@
         CHECK(refused.error().phase == SendPhase::NotSent);
     });
 }
+
+// Seen as requests cut at their endpoints: the canceller of an ended call closed a pooled connection that had gone on to another call.
+TEST_CASE("The canceller of an ended call leaves its connection to the next one")
+{
+    auto handler = [](HttpExchange &exchange) -> Asio::awaitable<void> {
+        Asio::steady_timer timer(co_await Asio::this_coro::executor, std::chrono::milliseconds(50));
+        co_await timer.async_wait(Asio::use_awaitable);
+        co_await echo(exchange);
+    };
+    runWithServer(handler, {}, [](HttpAddress address, HttpClient &client) -> Asio::awaitable<void> {
+        HttpCallOptions options;
+        options.canceller = std::make_shared<HttpCallCanceller>();
+        const auto first = co_await client.call(address, makeRequest("POST", "/", "first"), options);
+        CHECK(first.value().body == "first");
+        Asio::steady_timer timer(co_await Asio::this_coro::executor, std::chrono::milliseconds(20));
+        timer.async_wait([&options](const boost::system::error_code &) { options.canceller->cancel(); });
+        const auto second = co_await client.call(address, makeRequest("POST", "/", "second"), HttpCallOptions());
+        CHECK(second.has_value());
+    });
+}
+
+TEST_CASE("A cancelled call ends at once and its peer learns it")
+{
+    auto callerGone = std::make_shared<bool>(false);
+    auto handler = [callerGone](HttpExchange &exchange) -> Asio::awaitable<void> {
+        exchange.onCallerGone([callerGone] { *callerGone = true; });
+        Asio::steady_timer timer(co_await Asio::this_coro::executor, std::chrono::milliseconds(300));
+        co_await timer.async_wait(Asio::use_awaitable);
+        co_await echo(exchange);
+    };
+    runWithServer(handler, {}, [callerGone](HttpAddress address, HttpClient &client) -> Asio::awaitable<void> {
+        HttpCallOptions options;
+        options.canceller = std::make_shared<HttpCallCanceller>();
+        Asio::steady_timer timer(co_await Asio::this_coro::executor, std::chrono::milliseconds(50));
+        timer.async_wait([&options](const boost::system::error_code &) { options.canceller->cancel(); });
+        const auto answer = co_await client.call(address, makeRequest("POST", "/", "x"), options);
+        CHECK_FALSE(answer.has_value());
+        Asio::steady_timer later(co_await Asio::this_coro::executor, std::chrono::milliseconds(100));
+        co_await later.async_wait(Asio::use_awaitable);
+        CHECK(*callerGone);
+    });
+}
+
+TEST_CASE("An answer that comes before the request is written is read, and its connection not used again")
+{
+    // Pattern: an endpoint rejects a long request before it is in.
+    HttpServerLimits limits;
+    limits.maxBodyBytes = 1000;
+    runWithServer(echo, limits, [](HttpAddress address, HttpClient &client) -> Asio::awaitable<void> {
+        const auto rejected = co_await client.call(address, makeRequest("POST", "/", std::string(20 * 1024 * 1024, 'x')), HttpCallOptions());
+        CHECK(rejected.has_value());
+        CHECK(rejected.value().status == 413);
+        const auto next = co_await client.call(address, makeRequest("POST", "/", "small"), HttpCallOptions());
+        CHECK(next.value().body == "small");
+    });
+}
