--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -140,8 +140,9 @@
 {
     const EndpointLoad &load = this->endpointLoads.find(ticket.endpoint);
     const bool wasAlone = load.pendingPrompts <= ticket.expectedPrompt && load.peerPendingPrompts == Duration::zero();
-    if (!query.model.empty() && wasAlone) {
-        this->engineSpeeds.recordPrompt(query.service, query.model, choice.uncachedTokens, elapsed);
+    if (!query.model.empty()) {
+        const PromptQueue queue = wasAlone ? PromptQueue::Empty : PromptQueue::Possible;
+        this->engineSpeeds.recordPrompt(query.service, query.model, choice.uncachedTokens, elapsed, queue);
     }
     this->endpointLoads.firstOutput(ticket, elapsed, choice.firstOutput);
 }
--- a/Libraries/LibGateway/EngineSpeeds.cpp
+++ b/Libraries/LibGateway/EngineSpeeds.cpp
@@ -15,6 +15,8 @@
 constexpr std::int64_t minSampleTokens = 512;
 /// Observations that the moving mean goes back.
 constexpr int maxSamples = 10;
+/// Weight of a time that is longer than the mean and may hold the wait for other prompts.
+constexpr double queuedWeight = 0.05;
 /// Assumed before the first observation of a stream.
 constexpr double assumedMicrosecondsPerOutput = 8000;
 constexpr std::int64_t minSampleOutputs = 8;
@@ -27,15 +29,21 @@
     return baseTime + Duration(static_cast<std::int64_t>(perToken * static_cast<double>(tokens)));
 }
 
-void EngineSpeeds::recordPrompt(const std::string &service, const std::string &model, std::int64_t tokens, Duration elapsed)
+void EngineSpeeds::recordPrompt(const std::string &service, const std::string &model, std::int64_t tokens, Duration elapsed, PromptQueue queue)
 {
     if (tokens < minSampleTokens || elapsed <= baseTime) {
         return;
     }
     Speed &speed = this->prompts[{service, model}];
+    const bool isFirst = speed.samples == 0;
     speed.samples = std::min(speed.samples + 1, maxSamples);
     const double observed = static_cast<double>((elapsed - baseTime).count()) / static_cast<double>(tokens);
-    speed.microsecondsPerToken += (observed - speed.microsecondsPerToken) / speed.samples;
+    if (isFirst) {
+        speed.microsecondsPerToken = observed;
+        return;
+    }
+    const double weight = queue == PromptQueue::Possible && observed > speed.microsecondsPerToken ? queuedWeight : 1;
+    speed.microsecondsPerToken += weight * (observed - speed.microsecondsPerToken) / speed.samples;
 }
 
 Duration EngineSpeeds::outputTime(const std::string &service, const std::string &model, std::int64_t tokens) const
--- a/Libraries/LibGateway/EngineSpeeds.h
+++ b/Libraries/LibGateway/EngineSpeeds.h
@@ -10,14 +10,16 @@
 namespace Godwitfork
 {
 
+enum class PromptQueue { Empty, Possible };
+
 /// How fast the engines of a service read prompts and generate tokens, for each model, learned from answers.
 class EngineSpeeds
 {
 public:
     /// Expected time until the first output of a prompt on an idle engine.
     Duration promptTime(const std::string &service, const std::string &model, std::int64_t tokens) const;
-    /// Adds the time that an engine without other waiting prompts took.
-    void recordPrompt(const std::string &service, const std::string &model, std::int64_t tokens, Duration elapsed);
+    /// Adds the time to a first output. Where other prompts may have waited before it, short times tell more than long ones.
+    void recordPrompt(const std::string &service, const std::string &model, std::int64_t tokens, Duration elapsed, PromptQueue queue);
 
     /// Expected time of generated tokens, at the load of late.
     Duration outputTime(const std::string &service, const std::string &model, std::int64_t tokens) const;
--- a/Tests/LibGateway/TestEndpointChooser.cpp
+++ b/Tests/LibGateway/TestEndpointChooser.cpp
@@ -143,7 +143,7 @@
 {
     EngineSpeeds speeds;
     for (int i = 0; i < 20; ++i) {
-        speeds.recordPrompt("pool", "small", 10000, 125ms);
+        speeds.recordPrompt("pool", "small", 10000, 125ms, PromptQueue::Empty);
         speeds.recordOutput("pool", "small", 100, 300ms);
     }
     CHECK(speeds.promptTime("pool", "small", 10000) == 125ms);
@@ -151,6 +151,16 @@
     CHECK(speeds.promptTime("pool", "other", 10000) > 300ms);
 }
 
+TEST_CASE("The speed of a model is learned among waiting prompts too", "[chooser]")
+{
+    // Pattern: a large fleet, in which no instance ever sees an engine without prompts of the others.
+    EngineSpeeds speeds;
+    for (int i = 0; i < 100; ++i) {
+        speeds.recordPrompt("pool", "small", 10000, i % 4 == 0 ? 125ms : 900ms, PromptQueue::Possible);
+    }
+    CHECK(speeds.promptTime("pool", "small", 10000) < 350ms);
+}
+
 TEST_CASE("Cached parts count only behind all parts before them", "[chooser]")
 {
     PromptCacheView cache(20000);
