Send a summary from one hub only, and its members only when they differ

Ruled out: rarer reports, on which the predictions depend. Change: the report names the one hub that answers and a hash of the members known; untroubled endpoints of a trial are left out. A body goes to another failure domain if that saves 6 ms for each KB.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -153,19 +153,24 @@
         return;
     }
     this->nextReport = now + reportInterval + reportIntervalPerMember * static_cast<int>(this->fleet.members().size());
-    const PeerReport report = this->makeReport(now);
+    PeerReport report = this->makeReport(now);
+    report.fleetHash = fleetHash(this->fleet.members());
     this->reportedConfiguration = report.configuration;
     for (const TrialReport &trial : report.trials) {
         if (trial.isBad) {
             this->reportedBad.insert(trial.service);
         }
     }
-    const std::string body = encodePeerReport(report);
     this->board.expire(now);
     this->board.take(report, now);
     this->fleet.mention({report.sender}, now);
     this->fleet.expire(now);
-    for (const HttpAddress &hub : this->receivers(now)) {
+    const std::vector<HttpAddress> receivers = this->receivers(now);
+    if (receivers.empty()) {
+        return;
+    }
+    const HttpAddress answering = this->ownHub(receivers);
+    for (const HttpAddress &hub : receivers) {
         if (hub == this->state.settings.peers) {
             this->takeSummary(this->board.summary(now), report, now);
             continue;
@@ -175,9 +180,13 @@
             continue;
         }
         link.busy = true;
+        report.wantsSummary = hub == answering || this->fleet.members().size() < minRelayedMembers;
         link.sent = report;
+        std::string body = encodePeerReport(report);
         Asio::co_spawn(
-            this->context, [this, hub, body]() -> Asio::awaitable<void> { co_await this->send(hub, body); }, Asio::detached);
+            this->context,
+            [this, hub, body = std::move(body)]() -> Asio::awaitable<void> { co_await this->send(hub, body); },
+            Asio::detached);
     }
 }
 
@@ -195,6 +204,9 @@
         co_return;
     }
     link.avoidedUntil = {};
+    if (!link.sent.wantsSummary) {
+        co_return;
+    }
     const auto summary = decodePeerSummary(response.value().body);
     if (!summary) {
         logEvent(LogLevel::Warning, "peer.malformed", {{"peer", toText(address)}, {"message", summary.error().message}});
@@ -209,15 +221,17 @@
     this->noticeConfiguration(summary.configurationHolder, summary.configuration);
     // A hub that few report to knows less than the other one.
     const std::size_t previous = this->fleet.members().size();
-    this->fleet.mention(summary.members, now);
+    // Without a list both sides know the same members.
+    this->fleet.mention(summary.members.empty() ? this->fleet.members() : summary.members, now);
     if (this->fleet.members().size() != previous) {
         logEvent(LogLevel::Info, "peer.members", {{"members", this->fleet.members().size()}, {"previous", previous}});
     }
     const bool isFresh = now - this->summaryAt < reportInterval * 2;
-    if (isFresh && summary.members.size() < this->summaryMembers) {
+    const auto memberCount = static_cast<std::size_t>(std::max<std::int64_t>(0, summary.memberCount));
+    if (isFresh && memberCount < this->summaryMembers) {
         return;
     }
-    this->summaryMembers = summary.members.size();
+    this->summaryMembers = memberCount;
     this->summaryAt = now;
     this->otherUses = withoutOwn(summary.endpoints, own.endpoints);
     this->state.chooser.loads().setPeerUse(this->otherUses);
@@ -269,13 +283,17 @@
     adoptConfiguration(this->state, change, "peer", monotonicNow());
 }
 
-const std::string &PeerExchange::encodedSummary(MonotonicTime now)
+const std::string &PeerExchange::encodedSummary(const PeerReport &report, MonotonicTime now)
 {
     if (this->summaryBytes.empty() || now - this->summaryBytesAt > summaryReuse) {
-        this->summaryBytes = encodePeerSummary(this->board.summary(now));
+        PeerSummary summary = this->board.summary(now);
+        this->boardHash = fleetHash(summary.members);
+        this->summaryBytesWithMembers = encodePeerSummary(summary);
+        summary.members.clear();
+        this->summaryBytes = encodePeerSummary(summary);
         this->summaryBytesAt = now;
     }
-    return this->summaryBytes;
+    return report.fleetHash == this->boardHash ? this->summaryBytes : this->summaryBytesWithMembers;
 }
 
 Asio::awaitable<void> PeerExchange::serve(HttpExchange &exchange)
@@ -290,10 +308,12 @@
         co_return;
     } else if (path == reportPath) {
         const MonotonicTime now = monotonicNow();
-        auto report = decodePeerReport(exchange.request().body);
+        const auto report = decodePeerReport(exchange.request().body);
         if (report) {
-            this->board.take(std::move(report).value(), now);
-            response.body = this->encodedSummary(now);
+            this->board.take(report.value(), now);
+            if (report.value().wantsSummary) {
+                response.body = this->encodedSummary(report.value(), now);
+            }
         } else {
             logEvent(LogLevel::Warning, "peer.malformed", {{"message", report.error().message}});
             response.status = 400;
@@ -348,7 +368,12 @@
     if (usable.empty()) {
         return std::nullopt;
     }
-    return usable[hash64(this->state.settings.instance) % usable.size()];
+    return this->ownHub(usable);
+}
+
+HttpAddress PeerExchange::ownHub(const std::vector<HttpAddress> &hubs) const
+{
+    return hubs[hash64(this->state.settings.instance) % hubs.size()];
 }
 
 void PeerExchange::avoidHub(const HttpAddress &hub)
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -34,6 +34,8 @@
     int runningOutside(const std::string &service, const std::string &version) const;
     /// Hub through which this instance follows the store; empty if it is a hub itself, or if the fleet is too small.
     std::optional<HttpAddress> relayHub() const;
+    /// Of several hubs the one that answers this instance; the instances spread over them.
+    HttpAddress ownHub(const std::vector<HttpAddress> &hubs) const;
     /// A hub that did not answer is passed over for a while.
     void avoidHub(const HttpAddress &hub);
     /// Serves requests for a path of the peer listener.
@@ -59,7 +61,8 @@
     std::vector<HttpAddress> receivers(MonotonicTime now);
     void takeSummary(const PeerSummary &summary, const PeerReport &own, MonotonicTime now);
     void noticeConfiguration(const std::string &holder, ConfigurationVersion version);
-    const std::string &encodedSummary(MonotonicTime now);
+    /// The encoded summary, with or without the members.
+    const std::string &encodedSummary(const PeerReport &report, MonotonicTime now);
     bool isUrgent() const;
     std::string ownAddress() const;
 
@@ -77,6 +80,8 @@
     MonotonicTime nextSeedReport;
     EndpointUses otherUses;
     std::string summaryBytes;
+    std::string summaryBytesWithMembers;
+    std::uint64_t boardHash = 0;
     MonotonicTime summaryBytesAt;
     MonotonicTime nextReport;
     ConfigurationVersion reportedConfiguration = 0;
--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -21,7 +21,7 @@
 /// Added to the expected time in another failure domain, so that equal endpoints nearby go first.
 constexpr Duration remoteTime = std::chrono::milliseconds(5);
 /// Bytes between failure domains are dear, so a long body goes to another one only if that saves as much time.
-constexpr Duration remoteTimePerKilobyte = std::chrono::milliseconds(3);
+constexpr Duration remoteTimePerKilobyte = std::chrono::milliseconds(6);
 constexpr std::size_t bytesPerKilobyte = 1024;
 /// Expected slowdown by each request that runs beside.
 constexpr double slowdownPerRequest = 0.02;
--- a/Libraries/LibGateway/PeerBoard.cpp
+++ b/Libraries/LibGateway/PeerBoard.cpp
@@ -31,6 +31,14 @@
     known->observations += current.observations;
 }
 
+/// Keeps the endpoints that show trouble, and two others as evidence that there are more.
+void dropUntroubled(std::map<std::string, AnswerCounts> &endpoints)
+{
+    constexpr int keptUntroubled = 2;
+    int untroubled = 0;
+    std::erase_if(endpoints, [&](const auto &entry) { return entry.second.failures == 0 && entry.second.slow == 0 && ++untroubled > keptUntroubled; });
+}
+
 AnswerCounts difference(const AnswerCounts &total, const AnswerCounts &own)
 {
     const auto part = [](std::int64_t whole, std::int64_t less) { return std::max<std::int64_t>(0, whole - less); };
@@ -84,6 +92,10 @@
             addTrial(summary.trials, trial, now - entry.heard);
         }
     }
+    summary.memberCount = static_cast<std::int64_t>(summary.members.size());
+    for (TrialReport &trial : summary.trials) {
+        dropUntroubled(trial.observations.candidateByEndpoint);
+    }
     summary.leaving.assign(leaving.begin(), leaving.end());
     return summary;
 }
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/PeerReport.h"
 
+#include "LibCore/Digest.h"
 #include "LibPeer/PeerMessage.h"
 
 #include <nlohmann/json.hpp>
@@ -169,10 +170,19 @@
     return *this;
 }
 
+std::uint64_t fleetHash(const std::vector<FleetMember> &members)
+{
+    std::uint64_t hash = 0;
+    for (const FleetMember &member : members) {
+        hash ^= hash64(member.address);
+    }
+    return hash;
+}
+
 std::string encodePeerReport(const PeerReport &report)
 {
     return toBytes(Json::array(
-        {encodeMember(report.sender), report.configuration, encodeEndpoints(report.endpoints), encodeLeaving(report.leaving), encodeTrials(report.trials)}));
+        {encodeMember(report.sender), report.wantsSummary, report.fleetHash, report.configuration, encodeEndpoints(report.endpoints), encodeLeaving(report.leaving), encodeTrials(report.trials)}));
 }
 
 std::string encodePeerSummary(const PeerSummary &summary)
@@ -181,7 +191,8 @@
     for (const FleetMember &member : summary.members) {
         members.push_back(encodeMember(member));
     }
-    return toBytes(Json::array({members,
+    return toBytes(Json::array({summary.memberCount,
+                                members,
                                 summary.configuration,
                                 summary.configurationHolder,
                                 encodeEndpoints(summary.endpoints),
@@ -194,10 +205,12 @@
     return decodeMessage<PeerReport>(bytes, [](const Json &json) {
         PeerReport report;
         report.sender = decodeMember(json.at(0));
-        report.configuration = json.at(1).get<ConfigurationVersion>();
-        report.endpoints = decodeEndpoints(json.at(2));
-        report.leaving = decodeLeaving(json.at(3));
-        report.trials = decodeTrials(json.at(4));
+        report.wantsSummary = json.at(1).get<bool>();
+        report.fleetHash = json.at(2).get<std::uint64_t>();
+        report.configuration = json.at(3).get<ConfigurationVersion>();
+        report.endpoints = decodeEndpoints(json.at(4));
+        report.leaving = decodeLeaving(json.at(5));
+        report.trials = decodeTrials(json.at(6));
         return report;
     });
 }
@@ -206,14 +219,15 @@
 {
     return decodeMessage<PeerSummary>(bytes, [](const Json &json) {
         PeerSummary summary;
-        for (const Json &member : json.at(0)) {
+        summary.memberCount = json.at(0).get<std::int64_t>();
+        for (const Json &member : json.at(1)) {
             summary.members.push_back(decodeMember(member));
         }
-        summary.configuration = json.at(1).get<ConfigurationVersion>();
-        summary.configurationHolder = json.at(2).get<std::string>();
-        summary.endpoints = decodeEndpoints(json.at(3));
-        summary.leaving = decodeLeaving(json.at(4));
-        summary.trials = decodeTrials(json.at(5));
+        summary.configuration = json.at(2).get<ConfigurationVersion>();
+        summary.configurationHolder = json.at(3).get<std::string>();
+        summary.endpoints = decodeEndpoints(json.at(4));
+        summary.leaving = decodeLeaving(json.at(5));
+        summary.trials = decodeTrials(json.at(6));
         return summary;
     });
 }
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -55,6 +55,10 @@
 /// What an entry instance tells a hub, again and again. A lost report is made good by the next one.
 struct PeerReport {
     FleetMember sender;
+    /// Whether the hub answers with its summary; an instance needs it from one hub only.
+    bool wantsSummary = true;
+    /// Hash of the members that the sender knows.
+    std::uint64_t fleetHash = 0;
     ConfigurationVersion configuration = 0;
     EndpointUses endpoints;
     std::vector<LeavingEndpoint> leaving;
@@ -65,6 +69,9 @@
 
 /// What a hub answers: the sum of the newest reports of all instances, its own and the asking one's included.
 struct PeerSummary {
+    /// Instances whose reports the sums hold.
+    std::int64_t memberCount = 0;
+    /// Empty if the asking instance knows the same members.
     std::vector<FleetMember> members;
     /// Newest version that an instance has, and that instance's peer listener.
     ConfigurationVersion configuration = 0;
@@ -76,6 +83,9 @@
     auto operator<=>(const PeerSummary &) const = default;
 };
 
+/// Hash of the members' addresses, in any order.
+std::uint64_t fleetHash(const std::vector<FleetMember> &members);
+
 /// CBOR of the fields in their order.
 std::string encodePeerReport(const PeerReport &report);
 std::string encodePeerSummary(const PeerSummary &summary);
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -39,7 +39,8 @@
 TEST_CASE("A summary survives its encoding", "[peer]")
 {
     PeerSummary summary;
-    summary.members = {{"entry-1", "10.0.0.1:7000"}};
+    summary.memberCount = 1;
+    summary.members = {{"entry-1", "10.0.0.1:7000", 250}};
     summary.configuration = 12;
     summary.configurationHolder = "10.0.0.1:7000";
     summary.endpoints = fullReport().endpoints;
