--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -22,6 +22,8 @@
 constexpr Duration usualWatchWait = std::chrono::seconds(8);
 /// Between two looks whether the store is to be watched again.
 constexpr Duration relayCheckInterval = std::chrono::milliseconds(50);
+/// Between a change of an endpoint and the next watch; small against the bounds for endpoints that leave.
+constexpr Duration burstGap = std::chrono::milliseconds(120);
 /// Changes kept for other instances; some seconds of a busy fleet.
 constexpr std::size_t historyPages = 200;
 constexpr Duration minBackoff = std::chrono::milliseconds(100);
@@ -49,9 +51,7 @@
 {
     while (!this->stopped) {
         if (this->revision && this->relayed) {
-            Asio::steady_timer timer(this->context, relayCheckInterval);
-            boost::system::error_code ignored;
-            co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+            co_await this->pause(relayCheckInterval);
         } else if (this->revision) {
             co_await this->watchOnce();
         } else {
@@ -103,6 +103,17 @@
         this->latest.add({*this->revision, page.value().revision, page.value().source});
     }
     this->applyPage(page.value());
+    // Changes of endpoints come in bursts; one call tells several of them.
+    if (this->kind == CatalogKind::Endpoints && !page.value().changes.empty()) {
+        co_await this->pause(burstGap);
+    }
+}
+
+Asio::awaitable<void> CatalogFollower::pause(Duration duration)
+{
+    Asio::steady_timer timer(this->context, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
 }
 
 void CatalogFollower::applyPage(const CatalogPage &page)
@@ -175,10 +186,9 @@
         logEvent(LogLevel::Warning, "store.lost", failureFields(this->kind, error));
     }
     std::uniform_real_distribution<double> jitter(0.5, 1);
-    Asio::steady_timer timer(this->context, std::chrono::duration_cast<Duration>(this->backoff * jitter(this->state.random)));
+    const auto delay = std::chrono::duration_cast<Duration>(this->backoff * jitter(this->state.random));
     this->backoff = std::min(this->backoff * 2, this->state.hearsPeers ? maxBackoffBesidePeers : maxBackoff);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+    co_await this->pause(delay);
 }
 
 void CatalogFollower::recordSuccess()
--- a/Libraries/LibEntry/CatalogFollower.h
+++ b/Libraries/LibEntry/CatalogFollower.h
@@ -42,6 +42,7 @@
     boost::asio::awaitable<void> listOnce();
     boost::asio::awaitable<void> watchOnce();
     boost::asio::awaitable<void> pauseAfterFailure(const CatalogError &error);
+    boost::asio::awaitable<void> pause(Duration duration);
     void recordSuccess();
     SnapshotTrust trust() const;
     void applyList(const CatalogPage &page);
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -97,7 +97,7 @@
 
 void EntryService::run()
 {
-    logEvent(LogLevel::Info, "started", {{"callers", toText(this->state.settings.callers)}, {"failure_domain", this->state.settings.failureDomain}});
+    logEvent(LogLevel::Info, "listening", {{"address", toText(this->callers.address())}, {"failure_domain", this->state.settings.failureDomain}});
     this->callers.start();
     this->readiness.start();
     this->metricsListener.start();
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -184,9 +184,7 @@
         link.sent = report;
         std::string body = encodePeerReport(report);
         Asio::co_spawn(
-            this->context,
-            [this, hub, body = std::move(body)]() -> Asio::awaitable<void> { co_await this->send(hub, body); },
-            Asio::detached);
+            this->context, [this, hub, body = std::move(body)]() -> Asio::awaitable<void> { co_await this->send(hub, body); }, Asio::detached);
     }
 }
 
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -181,8 +181,13 @@
 
 std::string encodePeerReport(const PeerReport &report)
 {
-    return toBytes(Json::array(
-        {encodeMember(report.sender), report.wantsSummary, report.fleetHash, report.configuration, encodeEndpoints(report.endpoints), encodeLeaving(report.leaving), encodeTrials(report.trials)}));
+    return toBytes(Json::array({encodeMember(report.sender),
+                                report.wantsSummary,
+                                report.fleetHash,
+                                report.configuration,
+                                encodeEndpoints(report.endpoints),
+                                encodeLeaving(report.leaving),
+                                encodeTrials(report.trials)}));
 }
 
 std::string encodePeerSummary(const PeerSummary &summary)
