Keep one reader of addresses and log levels in settings; test the entry's settings

Cause: EntrySettings and RouterSettings each had their own copy. Ruled out: leaving it, since both would drift.

--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -1,6 +1,6 @@
 #include "LibEntry/EntrySettings.h"
 
-#include "LibSettings/SettingsReader.h"
+#include "LibSettings/CommonSettings.h"
 
 #include <sstream>
 
@@ -9,16 +9,6 @@
 
 namespace
 {
-HttpAddress readAddress(SettingsReader &reader, const std::string &key)
-{
-    const std::string text = reader.requiredText(key);
-    HttpAddress address = parseHttpAddress(text);
-    if (!text.empty() && address.host.empty()) {
-        reader.addFinding(key, "must be an IP address and a port, as in 127.0.0.1:8080");
-    }
-    return address;
-}
-
 std::vector<HttpAddress> readSeeds(SettingsReader &reader)
 {
     std::vector<HttpAddress> seeds;
@@ -33,18 +23,6 @@
     return seeds;
 }
 
-LogLevel readLogLevel(SettingsReader &reader)
-{
-    const std::string name = reader.text("log_level", "info");
-    for (const LogLevel level : {LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error}) {
-        if (name == logLevelName(level)) {
-            return level;
-        }
-    }
-    reader.addFinding("log_level", "must be debug, info, warning or error");
-    return LogLevel::Info;
-}
-
 /// Reads a fraction; the platform writes whole numbers without a decimal point.
 double readFraction(SettingsReader &reader, const std::string &key, double fallback, double minimum, double maximum)
 {
--- a/Services/Router/RouterSettings.cpp
+++ b/Services/Router/RouterSettings.cpp
@@ -1,6 +1,6 @@
 #include "RouterSettings.h"
 
-#include "LibSettings/SettingsReader.h"
+#include "LibSettings/CommonSettings.h"
 
 #include <cmath>
 #include <sstream>
@@ -14,16 +14,6 @@
 /// 128 bits, below which an HMAC key can be guessed.
 constexpr std::size_t minKeyBytes = 16;
 
-HttpAddress readAddress(SettingsReader &reader, const std::string &key)
-{
-    const std::string text = reader.requiredText(key);
-    HttpAddress address = parseHttpAddress(text);
-    if (!text.empty() && address.host.empty()) {
-        reader.addFinding(key, "must be an IP address and a port, as in 127.0.0.1:8080");
-    }
-    return address;
-}
-
 HttpAddress readOptionalAddress(SettingsReader &reader, const std::string &key)
 {
     return reader.text(key, "").empty() ? HttpAddress() : readAddress(reader, key);
@@ -68,24 +58,6 @@
     }
 }
 
-LogLevel readLogLevel(SettingsReader &reader)
-{
-    const std::string name = reader.text("log_level", "info");
-    if (name == "debug") {
-        return LogLevel::Debug;
-    }
-    if (name == "warning") {
-        return LogLevel::Warning;
-    }
-    if (name == "error") {
-        return LogLevel::Error;
-    }
-    if (name != "info") {
-        reader.addFinding("log_level", "must be debug, info, warning or error");
-    }
-    return LogLevel::Info;
-}
-
 std::string joined(const std::vector<std::string> &texts)
 {
     std::string joined;
--- /dev/null
+++ b/Tests/LibEntry/TestEntrySettings.cpp
@@ -0,0 +1,40 @@
+#include "LibEntry/EntrySettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Godwitfork;
+using namespace std::chrono_literals;
+
+namespace
+{
+const std::string complete = R"(
+instance: entry-1
+failure_domain: a
+listen: 10.0.0.1:80
+readiness_listen: 10.0.0.1:81
+peer_listen: 10.0.0.1:82
+metrics_listen: 10.0.0.1:83
+store: 10.0.0.9:90
+seeds: ["10.0.0.2:82"]
+)";
+}
+
+TEST_CASE("Settings keep their values through printing", "[settings]")
+{
+    Findings findings;
+    const EntrySettings settings = parseEntrySettings("s.yaml", complete + "stop_limit_s: 8\nretry_ratio: 0.9\ncore_share: 0.25\n", findings);
+    CHECK(findings.isEmpty());
+    CHECK(settings.stopLimit == 8s);
+    CHECK(settings.retryRatio == Approx(0.9));
+    CHECK(settings.seeds.size() == 1);
+    CHECK(parseEntrySettings("s.yaml", printEntrySettings(settings), findings) == settings);
+    CHECK(findings.isEmpty());
+}
+
+TEST_CASE("All mistakes are reported together, with their places", "[settings]")
+{
+    Findings findings;
+    parseEntrySettings("s.yaml", "instance: x\nlisten: nowhere\nretry_ratio: much\nlog_level: loud\nunknown: 1\nseeds: [x]\n", findings);
+    // Five missing keys, and one finding for each of the five mistakes.
+    CHECK(findings.entries().size() == 10);
+}
