--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -179,6 +179,7 @@
                 continue;
             }
             if (isComplete) {
+                this->reason.clear();
                 co_await this->exchange.finishStream();
             } else {
                 this->reason = "stream_broken";
@@ -565,6 +566,8 @@
         response.body = std::move(this->held->body);
         this->status = response.status;
         this->answerStarted = true;
+        // What an earlier attempt met stands in that attempt's line.
+        this->reason = response.status < 300 ? "" : "endpoint_error";
         co_await this->exchange.respond(std::move(response));
         co_return;
     }
