Learn how much more confident a larger model is, and escalate by that

The logs show two models' confidence on one request at a steady distance (+20 points for the middle size, +73 for the largest, scatter 14), so a middle model does not help an answer of confidence 10, and one of 60 is nearly always good. Change: ConfidenceGains learns the distance from escalated answers; the logistic scale is 6 points instead of 10, from that scatter. The log names the shared part of a prompt and whether it went to its home.

--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -35,7 +35,7 @@
     /// The configuration in force as the store holds it.
     std::string configurationSource;
     EndpointChooser chooser;
-    ConfidenceEstimates confidences;
+    ConfidenceGains confidenceGains;
     /// By service.
     std::map<std::string, RetryBudget> retryBudgets;
     /// Another instance that reads the store itself answered lately.
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -273,7 +273,9 @@
         query.model = this->route->models[i];
         const auto choice = this->state.chooser.choose(endpoints, query, monotonicNow(), this->state.random);
         ModelOption option;
-        option.quality = this->state.confidences.quality(this->service, query.model, static_cast<double>(i + 1) / static_cast<double>(count));
+        if (this->opinion && i > *this->model) {
+            option.confidenceGain = this->state.confidenceGains.gain(this->service, this->opinion->model, query.model, i - *this->model);
+        }
         option.relativeCost = dearest > 0 ? costs[query.model] / dearest : 0;
         option.firstOutput = choice ? choice->firstOutput : this->remaining();
         if (choice) {
@@ -289,11 +291,17 @@
 
 bool RequestRun::escalate(const AnswerFacts &answer)
 {
-    this->confidence = answer.confidence;
-    if (!answer.confidence || !this->choosesModel() || this->answerStarted) {
+    if (!answer.confidence || !this->choosesModel()) {
+        return false;
+    }
+    const ModelOpinion newest {this->route->models[*this->model], *answer.confidence};
+    if (this->opinion && this->opinion->model != newest.model) {
+        this->state.confidenceGains.record(this->service, *this->opinion, newest);
+    }
+    this->opinion = newest;
+    if (this->answerStarted) {
         return false;
     }
-    this->state.confidences.record(this->service, this->route->models[*this->model], *answer.confidence);
     // An escalation is one more run and one more arrival at the service.
     if (this->progress.possibleRuns + 1 >= this->progress.maxAttempts || !mayRepeat(this->route->repeatRule) || !this->retryMeans().hasBudget) {
         return false;
@@ -633,7 +641,11 @@
              {{"request", this->facts.id},
               {"from", this->current->query.model},
               {"to", this->route->models[*this->model]},
-              {"confidence", this->confidence.value_or(-1)},
+              {"confidence", this->opinion->confidence},
+              {"endpoint", this->current->choice.endpoint.id},
+              {"shared_prompt", this->current->choice.sharedPrompt.value_or(0)},
+              {"is_home", this->current->choice.isHome},
+              {"expected_ms", toMilliseconds(this->current->choice.firstOutput)},
               {"elapsed_ms", toMilliseconds(monotonicNow() - this->started)}});
 }
 
@@ -655,9 +667,13 @@
         fields["model"] = this->current->query.model;
         fields["expected_ms"] = toMilliseconds(this->current->choice.firstOutput);
         fields["uncached_tokens"] = this->current->choice.uncachedTokens;
+        if (this->current->choice.sharedPrompt) {
+            fields["shared_prompt"] = *this->current->choice.sharedPrompt;
+            fields["is_home"] = this->current->choice.isHome;
+        }
     }
-    if (this->confidence) {
-        fields["confidence"] = *this->confidence;
+    if (this->opinion) {
+        fields["confidence"] = this->opinion->confidence;
     }
     if (this->routes) {
         fields["configuration"] = this->routes->configuration().version;
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -116,8 +116,8 @@
     bool avoidCandidate = false;
     std::optional<std::int64_t> lastEvent;
     std::optional<MonotonicTime> firstOutputAt;
-    /// The model's opinion of its answer.
-    std::optional<int> confidence;
+    /// Confidence of the newest answer, with its model.
+    std::optional<ModelOpinion> opinion;
     /// Position among the route's models; set once chosen.
     std::optional<std::size_t> model;
     /// The current answer is dropped for one of a larger model.
--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -106,7 +106,9 @@
         }
         EndpointChoice choice = this->predict(*candidate, query, chain);
         Duration cost = choice.firstOutput;
-        if (candidate->id == home) {
+        choice.sharedPrompt = key;
+        choice.isHome = candidate->id == home;
+        if (choice.isHome) {
             cost -= scaled(choice.promptTime, homeShare);
         }
         if (candidate->failureDomain != this->ownFailureDomain) {
--- a/Libraries/LibGateway/EndpointChooser.h
+++ b/Libraries/LibGateway/EndpointChooser.h
@@ -35,6 +35,10 @@
     /// Expected time until the first output, with the prompts that wait before it.
     Duration firstOutput = Duration::zero();
     std::int64_t uncachedTokens = 0;
+    /// Key of the prompt's shared parts for the model; empty if there are none worth a detour.
+    std::optional<std::uint64_t> sharedPrompt;
+    /// The endpoint is the one on which all instances keep these parts.
+    bool isHome = false;
 };
 
 /// Chooses endpoints by the expected time to the first output and by where the leading parts of the prompt are cached.
--- a/Libraries/LibGateway/ModelLadder.cpp
+++ b/Libraries/LibGateway/ModelLadder.cpp
@@ -10,10 +10,17 @@
 {
 /// Confidence at which as many answers are good as bad.
 constexpr double evenConfidence = 50;
-/// Confidence over which the odds change by a factor of e; models state their confidence roughly.
-constexpr double confidenceScale = 10;
+/// Confidence over which the odds change by a factor of e. Two models' reports on one request scatter by some 14 points around
+/// their mean difference, so each by 10; 0.59 of that is the scale of the logistic function closest to the normal one.
+constexpr double confidenceScale = 6;
 /// Reports that a moving mean goes back.
 constexpr int maxSamples = 200;
+/// Gain of the next larger model, assumed before the first report and counted as this many reports.
+constexpr double assumedGain = 35;
+constexpr double assumedSamples = 3;
+/// Confidence is cut off at both ends, where a report only gives a bound.
+constexpr int minConfidence = 0;
+constexpr int maxConfidence = 100;
 /// Part of an answer's value that the dearest model's run costs; cheaper models cost in proportion.
 constexpr double dearestCost = 0.2;
 /// Value of a late answer as a part of one on time, as a caution between services that lose half and nearly all of it.
@@ -52,33 +59,27 @@
 {
     return delayCost * option.requestsBeside * ratio(option.promptTime, times.latencyObjective);
 }
-
-/// Probability that a larger model's answer is good where the current one's is good with probability `accepted`. Models
-/// agree on what is hard, so the larger one helps with a part of what the smaller one fails at.
-double improved(double accepted, double currentQuality, double largerQuality)
-{
-    const double gain = currentQuality < 1 ? std::clamp((largerQuality - currentQuality) / (1 - currentQuality), 0.0, 1.0) : 0;
-    return accepted + (1 - accepted) * gain;
-}
 } // namespace
 
-double acceptability(int confidence)
+double acceptability(double confidence)
 {
     return 1 / (1 + std::exp((evenConfidence - confidence) / confidenceScale));
 }
 
-void ConfidenceEstimates::record(const std::string &service, const std::string &model, int confidence)
+void ConfidenceGains::record(const std::string &service, const ModelOpinion &smaller, const ModelOpinion &larger)
 {
-    Estimate &estimate = this->estimates[{service, model}];
+    if (smaller.confidence <= minConfidence || larger.confidence >= maxConfidence) {
+        return;
+    }
+    Estimate &estimate = this->estimates[{service, smaller.model, larger.model}];
     estimate.samples = std::min(estimate.samples + 1, maxSamples);
-    estimate.mean += (acceptability(confidence) - estimate.mean) / estimate.samples;
+    estimate.mean += (larger.confidence - smaller.confidence - estimate.mean) / estimate.samples;
 }
 
-double ConfidenceEstimates::quality(const std::string &service, const std::string &model, double assumed) const
+double ConfidenceGains::gain(const std::string &service, const std::string &smaller, const std::string &larger, std::size_t steps) const
 {
-    // Ten reports are worth as much as the assumption.
-    constexpr double assumedSamples = 10;
-    const auto known = this->estimates.find({service, model});
+    const double assumed = assumedGain * static_cast<double>(steps);
+    const auto known = this->estimates.find({service, smaller, larger});
     if (known == this->estimates.end()) {
         return assumed;
     }
@@ -102,7 +103,7 @@
     double bestValue = accepted;
     std::optional<std::size_t> best;
     for (std::size_t i = current + 1; i < options.size(); ++i) {
-        const double good = improved(accepted, options[current].quality, options[i].quality);
+        const double good = acceptability(confidence + options[i].confidenceGain);
         const double value = good * timeliness(options[i], times) - dearestCost * options[i].relativeCost - delayOfOthers(options[i], times);
         if (value > bestValue) {
             bestValue = value;
--- a/Libraries/LibGateway/ModelLadder.h
+++ b/Libraries/LibGateway/ModelLadder.h
@@ -2,25 +2,35 @@
 
 #include "LibCore/Time.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace Godwitfork
 {
 
 /// Probability that an answer is good enough, from the confidence between 0 and 100 that its model reports.
-double acceptability(int confidence);
+double acceptability(double confidence);
 
-/// How many of a model's answers are good enough, learned from the confidence that it reports.
-class ConfidenceEstimates
+/// One model's reported confidence in its answer to a request.
+struct ModelOpinion {
+    std::string model;
+    int confidence = 0;
+
+    auto operator<=>(const ModelOpinion &) const = default;
+};
+
+/// How much more confident larger models are about the same request, learned from escalated answers.
+class ConfidenceGains
 {
 public:
-    void record(const std::string &service, const std::string &model, int confidence);
-    /// `assumed` is used before the first report.
-    double quality(const std::string &service, const std::string &model, double assumed) const;
+    void record(const std::string &service, const ModelOpinion &smaller, const ModelOpinion &larger);
+    /// Points that the larger model's confidence lies above the smaller one's. `steps` is the number of sizes between them; it
+    /// gives the assumption before the first report.
+    double gain(const std::string &service, const std::string &smaller, const std::string &larger, std::size_t steps) const;
 
 private:
     struct Estimate {
@@ -28,13 +38,14 @@
         int samples = 0;
     };
 
-    std::map<std::pair<std::string, std::string>, Estimate> estimates;
+    /// By service, smaller and larger model.
+    std::map<std::tuple<std::string, std::string, std::string>, Estimate> estimates;
 };
 
 /// One model that a request could run on, as seen now.
 struct ModelOption {
-    /// Share of its answers that are good enough.
-    double quality = 1;
+    /// Points that its confidence is expected to lie above the current model's, for the same request.
+    double confidenceGain = 0;
     /// Price relative to the dearest model of the route.
     double relativeCost = 1;
     Duration firstOutput = Duration::zero();
