Tell all instances how a service keeps up and where shared prompts are cached

Each of 78 instances saw 3 requests a second, kept the slowness of an endpoint from one peak to the next, and priced an escalation by the requests that ran beside it, which are not those that wait. It knew what an engine had cached from its own requests alone. Change: reports hold fading sums of each service's slowness and waits, failures by endpoint, and the shared parts that engines were given to read; hubs add them up. An endpoint's slowness stays own experience, now fading. An escalation costs in proportion to its prompt time and to the wait that all instances saw of late.

--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -91,11 +91,8 @@
     PeerReport report;
     report.sender = {this->state.settings.instance, this->ownAddress(), static_cast<int>(this->state.settings.coreShare * 1000)};
     report.configuration = this->state.routes ? this->state.routes->configuration().version : 0;
-    for (const auto &[id, load] : this->state.chooser.loads().all()) {
-        if (load.running > 0) {
-            report.endpoints[id] = {load.running, load.pendingPrompts};
-        }
-    }
+    report.endpoints = this->state.chooser.loads().ownUse(now);
+    report.paces = this->state.chooser.loads().ownPaces(now);
     for (const EndpointEntry *endpoint : this->state.endpoints.draining()) {
         report.leaving.push_back({endpoint->id, endpoint->incarnation});
     }
@@ -147,13 +144,14 @@
 {
     if (now - this->summaryAt > loadLifetime) {
         this->otherUses.clear();
-        this->state.chooser.loads().setPeerUse({});
+        this->state.chooser.loads().setPeerUse({}, {});
     }
     if (now < this->nextReport && !this->isUrgent()) {
         return;
     }
     this->nextReport = now + reportInterval + reportIntervalPerMember * static_cast<int>(this->fleet.members().size());
     PeerReport report = this->makeReport(now);
+    report.placements = this->state.chooser.takePlacements();
     report.fleetHash = fleetHash(this->fleet.members());
     this->reportedConfiguration = report.configuration;
     for (const TrialReport &trial : report.trials) {
@@ -216,6 +214,7 @@
 void PeerExchange::takeSummary(const PeerSummary &summary, const PeerReport &own, MonotonicTime now)
 {
     applyLeaving(this->state, summary.leaving);
+    this->applyPlacements(summary.placements);
     this->noticeConfiguration(summary.configurationHolder, summary.configuration);
     // A hub that few report to knows less than the other one.
     const std::size_t previous = this->fleet.members().size();
@@ -232,7 +231,7 @@
     this->summaryMembers = memberCount;
     this->summaryAt = now;
     this->otherUses = withoutOwn(summary.endpoints, own.endpoints);
-    this->state.chooser.loads().setPeerUse(this->otherUses);
+    this->state.chooser.loads().setPeerUse(this->otherUses, withoutOwn(summary.paces, own.paces));
     for (TrialReport trial : summary.trials) {
         for (const TrialReport &sent : own.trials) {
             if (sent.service == trial.service && sent.target == trial.target) {
@@ -243,6 +242,17 @@
     }
 }
 
+void PeerExchange::applyPlacements(const CachePlacements &placements)
+{
+    for (const auto &[id, parts] : placements) {
+        const EndpointEntry *endpoint = this->state.endpoints.find(id);
+        const ServiceProperties *service = endpoint && this->state.routes ? this->state.routes->findService(endpoint->service) : nullptr;
+        if (service && service->engine) {
+            this->state.chooser.recordPlacement(id, parts, service->engine->memoryTokens);
+        }
+    }
+}
+
 void PeerExchange::noticeConfiguration(const std::string &holder, ConfigurationVersion version)
 {
     // A first configuration is read from the store itself, since a peer may be behind it.
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -60,6 +60,7 @@
     /// Where the next report goes.
     std::vector<HttpAddress> receivers(MonotonicTime now);
     void takeSummary(const PeerSummary &summary, const PeerReport &own, MonotonicTime now);
+    void applyPlacements(const CachePlacements &placements);
     void noticeConfiguration(const std::string &holder, ConfigurationVersion version);
     /// The encoded summary, with or without the members.
     const std::string &encodedSummary(const PeerReport &report, MonotonicTime now);
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -216,7 +216,7 @@
     answer.route = this->route->name;
     answer.endpoint = endpoint.id;
     answer.isFailure = outcome.end != AttemptEnd::Answered || !isSuccess(outcome.answer);
-    const Duration expected = std::max(this->current->choice.firstOutput, minExpectedTime);
+    const Duration expected = std::max(this->current->choice.usualOutput, minExpectedTime);
     answer.isSlow = this->current->firstOutput && *this->current->firstOutput > expected * slowFactor;
     this->state.versions.recordAnswer(this->service, endpoint.version, answer);
     this->avoidCandidate = this->avoidCandidate || answer.isFailure;
@@ -251,7 +251,7 @@
 
 LadderTimes RequestRun::ladderTimes() const
 {
-    return {this->route->latencyObjective, this->untilObjective(), this->remaining()};
+    return {this->route->latencyObjective, this->untilObjective(), this->remaining(), this->state.chooser.loads().usualWait(this->service, monotonicNow())};
 }
 
 std::vector<ModelOption> RequestRun::modelOptions() const
@@ -267,6 +267,7 @@
             dearest = std::max(dearest, offer.costPerThousandTokens);
         }
     }
+    const Duration usualWait = this->state.chooser.loads().usualWait(this->service, monotonicNow());
     std::vector<ModelOption> options;
     const std::size_t count = this->route->models.size();
     for (std::size_t i = 0; i < count; ++i) {
@@ -279,9 +280,8 @@
         option.relativeCost = dearest > 0 ? costs[query.model] / dearest : 0;
         option.firstOutput = choice ? choice->firstOutput : this->remaining();
         if (choice) {
-            const EndpointLoad &load = this->state.chooser.loads().find(choice->endpoint.id);
             option.promptTime = choice->promptTime;
-            option.requestsBeside = load.running + load.peerRunning;
+            option.firstOutput = std::max(option.firstOutput, choice->promptTime + usualWait);
         }
         option.lastOutput = option.firstOutput + this->state.chooser.speeds().outputTime(this->service, query.model, this->expectedOutput());
         options.push_back(option);
@@ -434,7 +434,7 @@
     outcome.answer = Platform::readAnswer(stream->status(), stream->headers());
     if (isStream(this->route->repeatRule) && isSuccess(outcome.answer)) {
         if (this->escalate(outcome.answer)) {
-            this->state.chooser.firstOutput(this->current->ticket, this->current->query, this->current->choice, monotonicNow() - this->current->started);
+            this->recordFirstOutput(monotonicNow());
             co_return outcome;
         }
         const RelayEnd end = co_await this->relay(*stream);
@@ -462,7 +462,7 @@
     this->firstOutputAt = monotonicNow();
     this->current->firstOutput = *this->firstOutputAt - this->current->started;
     if (isSuccess(outcome.answer)) {
-        this->state.chooser.firstOutput(this->current->ticket, this->current->query, this->current->choice, *this->firstOutputAt - this->current->started);
+        this->recordFirstOutput(*this->firstOutputAt);
     }
     this->held = std::move(answer);
     co_return outcome;
@@ -518,7 +518,7 @@
             const MonotonicTime now = monotonicNow();
             firstEventAt = now;
             this->current->firstOutput = now - this->current->started;
-            this->state.chooser.firstOutput(this->current->ticket, this->current->query, this->current->choice, now - this->current->started);
+            this->recordFirstOutput(now);
             if (!this->firstOutputAt) {
                 this->firstOutputAt = now;
             }
@@ -542,6 +542,11 @@
     co_await this->exchange.startStream(stream.status(), Platform::callerAnswerHeaders(stream.headers()));
 }
 
+void RequestRun::recordFirstOutput(MonotonicTime now)
+{
+    this->state.chooser.firstOutput(this->current->ticket, this->current->query, this->current->choice, this->current->started, now);
+}
+
 void RequestRun::recordOutputSpeed(std::int64_t events, Duration elapsed)
 {
     const ServiceProperties *properties = this->routes->findService(this->service);
@@ -617,7 +622,7 @@
     if (step == NextStep::Deliver && outcome.end == AttemptEnd::Answered && isSuccess(outcome.answer)) {
         return;
     }
-    const EndpointLoad &load = this->state.chooser.loads().find(this->current->choice.endpoint.id);
+    const ObservationSum failures = this->state.chooser.loads().find(this->current->choice.endpoint.id).failuresOfAll(monotonicNow());
     logEvent(LogLevel::Warning,
              "attempt.failed",
              {{"request", this->facts.id},
@@ -630,7 +635,8 @@
               {"elapsed_ms", toMilliseconds(monotonicNow() - this->current->started)},
               {"remaining_ms", toMilliseconds(this->remaining())},
               {"possible_runs", this->progress.possibleRuns},
-              {"failure_share", load.failureShare},
+              {"recent_failures", failures.sum},
+              {"recent_answers", failures.weight},
               {"next", nextStepName(step)}});
 }
 
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -89,6 +89,7 @@
     Duration untilObjective() const;
     Duration retryDelay();
     void logAttempt(const AttemptOutcome &outcome, NextStep step) const;
+    void recordFirstOutput(MonotonicTime now);
     void recordOutputSpeed(std::int64_t events, Duration elapsed);
     void logEscalation() const;
     void logEnd() const;
--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -3,7 +3,9 @@
 #include "LibCore/Digest.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
+#include <utility>
 
 namespace Godwitfork
 {
@@ -25,6 +27,8 @@
 constexpr std::size_t bytesPerKilobyte = 1024;
 /// Expected slowdown by each request that runs beside.
 constexpr double slowdownPerRequest = 0.02;
+/// Observations that count as having been as usual, before an endpoint's first one.
+constexpr double assumedObservations = 3;
 /// Expected time of one request at a plain service, before its slowness.
 constexpr Duration plainServiceTime = std::chrono::milliseconds(60);
 /// Scores within this share count as equal, so that instances with the same view do not all pick one endpoint.
@@ -68,26 +72,28 @@
 {
 }
 
-EndpointChoice EndpointChooser::predict(const EndpointEntry &endpoint, const ChoiceQuery &query, const std::vector<std::uint64_t> &chain) const
+EndpointChoice EndpointChooser::predict(const EndpointEntry &endpoint, const ChoiceQuery &query, const std::vector<std::uint64_t> &chain, MonotonicTime now) const
 {
     const EndpointLoad &load = this->endpointLoads.find(endpoint.id);
     EndpointChoice choice;
     choice.endpoint = endpoint;
     if (query.model.empty()) {
         const int slots = std::max(1, endpoint.slots);
-        const double waves = 1 + static_cast<double>(load.running + load.peerRunning) / slots;
-        choice.promptTime = scaled(plainServiceTime, load.slowness);
-        choice.firstOutput = scaled(choice.promptTime, waves);
-        return choice;
-    }
-    std::int64_t cached = 0;
-    if (const auto cache = this->caches.find(endpoint.id); cache != this->caches.end()) {
-        cached = cache->second.cachedTokens(chain, query.parts);
+        choice.promptTime = plainServiceTime;
+        choice.unslowedOutput = scaled(plainServiceTime, 1 + static_cast<double>(load.requestsBeside()) / slots);
+    } else {
+        std::int64_t cached = 0;
+        if (const auto cache = this->caches.find(endpoint.id); cache != this->caches.end()) {
+            cached = cache->second.cachedTokens(chain, query.parts);
+        }
+        choice.uncachedTokens = std::max<std::int64_t>(0, query.promptTokens - cached);
+        choice.promptTime = this->engineSpeeds.promptTime(query.service, query.model, choice.uncachedTokens);
+        choice.unslowedOutput = scaled(choice.promptTime + load.waitingPrompts(), 1 + slowdownPerRequest * load.requestsBeside());
     }
-    choice.uncachedTokens = std::max<std::int64_t>(0, query.promptTokens - cached);
-    const double slowdown = this->endpointLoads.congestion(query.service) * load.slowness * (1 + slowdownPerRequest * (load.running + load.peerRunning));
-    choice.promptTime = this->engineSpeeds.promptTime(query.service, query.model, choice.uncachedTokens);
-    choice.firstOutput = scaled(choice.promptTime + load.pendingPrompts + load.peerPendingPrompts, slowdown);
+    const double usual = this->endpointLoads.usualSlowness(query.service, now);
+    const double assumedWeight = assumedObservations * std::chrono::duration<double>(choice.unslowedOutput).count();
+    choice.firstOutput = scaled(choice.unslowedOutput, blendedMean(load.times.at(now), usual, assumedWeight));
+    choice.usualOutput = scaled(choice.unslowedOutput, usual);
     return choice;
 }
 
@@ -104,7 +110,7 @@
         if (query.excluded.contains(candidate->id)) {
             continue;
         }
-        EndpointChoice choice = this->predict(*candidate, query, chain);
+        EndpointChoice choice = this->predict(*candidate, query, chain, now);
         Duration cost = choice.firstOutput;
         choice.sharedPrompt = key;
         choice.isHome = candidate->id == home;
@@ -114,8 +120,8 @@
         if (candidate->failureDomain != this->ownFailureDomain) {
             cost += remoteTime + remoteTimePerKilobyte * static_cast<std::int64_t>(query.bodyBytes / bytesPerKilobyte);
         }
-        const EndpointLoad &load = this->endpointLoads.find(candidate->id);
-        double score = static_cast<double>(cost.count()) * (1 + failureWeight * load.failureShare) * jitter(random);
+        const double failureShare = blendedMean(this->endpointLoads.find(candidate->id).failuresOfAll(now), 0, assumedObservations);
+        double score = static_cast<double>(cost.count()) * (1 + failureWeight * failureShare) * jitter(random);
         // An avoided endpoint is only used if all are.
         if (this->endpointLoads.isAvoided(candidate->id, now)) {
             score += static_cast<double>(Duration(std::chrono::hours(1)).count());
@@ -131,22 +137,36 @@
 LoadTicket EndpointChooser::begin(const ChoiceQuery &query, const EndpointChoice &choice)
 {
     if (!query.model.empty()) {
-        const auto capacity = static_cast<std::int64_t>(static_cast<double>(query.memoryTokens) * cacheShare);
-        auto cache = this->caches.try_emplace(choice.endpoint.id, capacity).first;
-        cache->second.record(promptChain(query.model, query.parts), query.parts);
+        std::vector<CachedPart> parts = cachedParts(promptChain(query.model, query.parts), query.parts);
+        this->recordPlacement(choice.endpoint.id, parts, query.memoryTokens);
+        if (choice.sharedPrompt) {
+            std::vector<CachedPart> &told = this->untold[choice.endpoint.id];
+            told.insert(told.end(), parts.begin(), std::prev(parts.end()));
+        }
     }
     return this->endpointLoads.begin(choice.endpoint, choice.promptTime);
 }
 
-void EndpointChooser::firstOutput(LoadTicket &ticket, const ChoiceQuery &query, const EndpointChoice &choice, Duration elapsed)
+void EndpointChooser::recordPlacement(const std::string &endpoint, const std::vector<CachedPart> &parts, std::int64_t memoryTokens)
+{
+    const auto capacity = static_cast<std::int64_t>(static_cast<double>(memoryTokens) * cacheShare);
+    this->caches.try_emplace(endpoint, capacity).first->second.record(parts);
+}
+
+CachePlacements EndpointChooser::takePlacements()
+{
+    return std::exchange(this->untold, {});
+}
+
+void EndpointChooser::firstOutput(LoadTicket &ticket, const ChoiceQuery &query, const EndpointChoice &choice, MonotonicTime started, MonotonicTime now)
 {
     const EndpointLoad &load = this->endpointLoads.find(ticket.endpoint);
-    const bool wasAlone = load.pendingPrompts <= ticket.expectedPrompt && load.peerPendingPrompts == Duration::zero();
+    const bool wasAlone = load.waitingPrompts() <= ticket.expectedPrompt;
     if (!query.model.empty()) {
         const PromptQueue queue = wasAlone ? PromptQueue::Empty : PromptQueue::Possible;
-        this->engineSpeeds.recordPrompt(query.service, query.model, choice.uncachedTokens, elapsed, queue);
+        this->engineSpeeds.recordPrompt(query.service, query.model, choice.uncachedTokens, now - started, queue);
     }
-    this->endpointLoads.firstOutput(ticket, elapsed, choice.firstOutput);
+    this->endpointLoads.firstOutput(ticket, now - started, choice.unslowedOutput, now);
 }
 
 void EndpointChooser::end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now)
--- a/Libraries/LibGateway/EndpointChooser.h
+++ b/Libraries/LibGateway/EndpointChooser.h
@@ -34,6 +34,10 @@
     Duration promptTime = Duration::zero();
     /// Expected time until the first output, with the prompts that wait before it.
     Duration firstOutput = Duration::zero();
+    /// The same at an endpoint of nominal speed.
+    Duration unslowedOutput = Duration::zero();
+    /// The same at the usual speed that the service's endpoints have now.
+    Duration usualOutput = Duration::zero();
     std::int64_t uncachedTokens = 0;
     /// Key of the prompt's shared parts for the model; empty if there are none worth a detour.
     std::optional<std::uint64_t> sharedPrompt;
@@ -54,8 +58,12 @@
 
     /// Records that the request goes to the endpoint.
     LoadTicket begin(const ChoiceQuery &query, const EndpointChoice &choice);
-    void firstOutput(LoadTicket &ticket, const ChoiceQuery &query, const EndpointChoice &choice, Duration elapsed);
+    void firstOutput(LoadTicket &ticket, const ChoiceQuery &query, const EndpointChoice &choice, MonotonicTime started, MonotonicTime now);
     void end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now);
+    /// Adds what other instances let an engine read. `memoryTokens` is the engine's memory.
+    void recordPlacement(const std::string &endpoint, const std::vector<CachedPart> &parts, std::int64_t memoryTokens);
+    /// Shared parts that own requests let engines read since the last call.
+    CachePlacements takePlacements();
     /// Drops what is known about an endpoint that restarted or left.
     void forget(const std::string &endpoint);
 
@@ -65,12 +73,14 @@
     const EndpointLoads &loads() const;
 
 private:
-    EndpointChoice predict(const EndpointEntry &endpoint, const ChoiceQuery &query, const std::vector<std::uint64_t> &chain) const;
+    EndpointChoice predict(const EndpointEntry &endpoint, const ChoiceQuery &query, const std::vector<std::uint64_t> &chain, MonotonicTime now) const;
 
     std::string ownFailureDomain;
     EndpointLoads endpointLoads;
     EngineSpeeds engineSpeeds;
     std::map<std::string, PromptCacheView> caches;
+    /// Not yet told to the other instances.
+    CachePlacements untold;
 };
 
 } // namespace Godwitfork
--- a/Libraries/LibGateway/EndpointLoads.cpp
+++ b/Libraries/LibGateway/EndpointLoads.cpp
@@ -7,22 +7,56 @@
 
 namespace
 {
-/// Weight of a new observation in the moving means; ten requests replace most of the history.
-constexpr double observationWeight = 0.15;
-constexpr double minSlowness = 0.3;
-constexpr double maxSlowness = 10;
-constexpr double minCongestion = 0.5;
-constexpr double maxCongestion = 8;
 /// Pause after the first silence; doubles with each further one.
 constexpr Duration firstAvoidance = std::chrono::milliseconds(500);
 constexpr int maxAvoidanceDoublings = 3;
-
-void blend(double &mean, double value)
+/// Long enough for several requests of one instance to an endpoint, short against the time that an endpoint stays slow.
+constexpr Duration endpointMemory = std::chrono::seconds(4);
+/// Short, since all instances together see many requests and a peak builds up within seconds.
+constexpr Duration paceMemory = std::chrono::seconds(2);
+/// What has faded below this part of one observation is not told to others.
+constexpr double minToldWeight = 0.25;
+/// Longer times, in multiples of the expected one, say no more about an endpoint than that it is very slow.
+constexpr double maxRatio = 20;
+/// Seconds of expected time that count as having been as usual, before the first observation.
+constexpr double assumedSeconds = 0.3;
+
+double toSeconds(Duration time)
 {
-    mean += observationWeight * (value - mean);
+    return std::chrono::duration<double>(time).count();
 }
 } // namespace
 
+EndpointLoad::EndpointLoad() : times(endpointMemory), failures(endpointMemory)
+{
+}
+
+ObservationSum EndpointLoad::failuresOfAll(MonotonicTime now) const
+{
+    ObservationSum total = this->failures.at(now);
+    total += this->peers.failures;
+    return total;
+}
+
+int EndpointLoad::requestsBeside() const
+{
+    return this->running + this->peers.running;
+}
+
+Duration EndpointLoad::waitingPrompts() const
+{
+    return this->pendingPrompts + this->peers.pendingPrompts;
+}
+
+EndpointLoads::FadingPace::FadingPace() : slowness(paceMemory), waits(paceMemory)
+{
+}
+
+ServicePace EndpointLoads::FadingPace::at(MonotonicTime now) const
+{
+    return {this->slowness.at(now), this->waits.at(now)};
+}
+
 LoadTicket EndpointLoads::begin(const EndpointEntry &endpoint, Duration expectedPrompt)
 {
     EndpointLoad &load = this->loads[endpoint.id];
@@ -31,26 +65,45 @@
     return {endpoint.id, endpoint.service, expectedPrompt, true};
 }
 
-void EndpointLoads::firstOutput(LoadTicket &ticket, Duration elapsed, Duration expected)
+void EndpointLoads::firstOutput(LoadTicket &ticket, Duration elapsed, Duration expected, MonotonicTime now)
 {
     EndpointLoad &load = this->loads[ticket.endpoint];
     if (ticket.isWaiting) {
         load.pendingPrompts = std::max(Duration::zero(), load.pendingPrompts - ticket.expectedPrompt);
         ticket.isWaiting = false;
     }
-    if (expected > Duration::zero()) {
-        // The expectation holds both factors, so each follows what remains beside the other one.
-        const double ratio = static_cast<double>(elapsed.count()) / static_cast<double>(expected.count());
-        double &congestion = this->congestions.try_emplace(ticket.service, 1).first->second;
-        blend(load.slowness, std::clamp(ratio * load.slowness, minSlowness, maxSlowness));
-        blend(congestion, std::clamp(ratio * congestion, minCongestion, maxCongestion));
+    if (expected <= Duration::zero()) {
+        return;
+    }
+    const double expectedSeconds = toSeconds(expected);
+    const ObservationSum observation {std::min(toSeconds(elapsed), expectedSeconds * maxRatio), expectedSeconds};
+    load.times.add(observation, now);
+    FadingPace &pace = this->paces[ticket.service];
+    pace.slowness.add(observation, now);
+    pace.waits.add({toSeconds(std::max(Duration::zero(), elapsed - ticket.expectedPrompt)), 1}, now);
+}
+
+ServicePace EndpointLoads::paceOfAll(const std::string &service, MonotonicTime now) const
+{
+    ServicePace total;
+    if (const auto own = this->paces.find(service); own != this->paces.end()) {
+        total += own->second.at(now);
     }
+    if (const auto others = this->peerPaces.find(service); others != this->peerPaces.end()) {
+        total += others->second;
+    }
+    return total;
+}
+
+double EndpointLoads::usualSlowness(const std::string &service, MonotonicTime now) const
+{
+    return blendedMean(this->paceOfAll(service, now).slowness, 1, assumedSeconds);
 }
 
-double EndpointLoads::congestion(const std::string &service) const
+Duration EndpointLoads::usualWait(const std::string &service, MonotonicTime now) const
 {
-    const auto known = this->congestions.find(service);
-    return known == this->congestions.end() ? 1 : known->second;
+    const std::chrono::duration<double> wait(blendedMean(this->paceOfAll(service, now).waits, 0, 1));
+    return std::chrono::duration_cast<Duration>(wait);
 }
 
 void EndpointLoads::recordOutput(const std::string &endpoint, MonotonicTime now)
@@ -67,15 +120,15 @@
     }
     switch (result) {
     case EndpointResult::Success:
-        blend(load.failureShare, 0);
+        load.failures.add({0, 1}, now);
         load.consecutiveSilences = 0;
         load.avoidUntil = {};
         break;
     case EndpointResult::Failure:
-        blend(load.failureShare, 1);
+        load.failures.add({1, 1}, now);
         break;
     case EndpointResult::Silent:
-        blend(load.failureShare, 1);
+        load.failures.add({1, 1}, now);
         load.avoidUntil = now + firstAvoidance * (1 << std::min(load.consecutiveSilences, maxAvoidanceDoublings));
         ++load.consecutiveSilences;
         break;
@@ -107,17 +160,36 @@
     return this->loads;
 }
 
-void EndpointLoads::setPeerUse(const EndpointUses &use)
+void EndpointLoads::setPeerUse(const EndpointUses &use, const ServicePaces &newPaces)
 {
     for (auto &[id, load] : this->loads) {
-        load.peerRunning = 0;
-        load.peerPendingPrompts = Duration::zero();
+        load.peers = {};
     }
     for (const auto &[id, peerUse] : use) {
-        EndpointLoad &load = this->loads[id];
-        load.peerRunning = peerUse.running;
-        load.peerPendingPrompts = peerUse.pendingPrompts;
+        this->loads[id].peers = peerUse;
+    }
+    this->peerPaces = newPaces;
+}
+
+EndpointUses EndpointLoads::ownUse(MonotonicTime now) const
+{
+    EndpointUses uses;
+    for (const auto &[id, load] : this->loads) {
+        const ObservationSum failures = load.failures.at(now);
+        if (load.running > 0 || failures.sum >= minToldWeight) {
+            uses[id] = {load.running, load.pendingPrompts, failures};
+        }
+    }
+    return uses;
+}
+
+ServicePaces EndpointLoads::ownPaces(MonotonicTime now) const
+{
+    ServicePaces result;
+    for (const auto &[service, pace] : this->paces) {
+        result[service] = pace.at(now);
     }
+    return result;
 }
 
 bool EndpointLoads::isAvoided(const std::string &endpoint, MonotonicTime now) const
--- a/Libraries/LibGateway/EndpointLoads.h
+++ b/Libraries/LibGateway/EndpointLoads.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Time.h"
 #include "LibGateway/EndpointRegistry.h"
+#include "LibGateway/FadingSum.h"
 #include "LibGateway/PeerReport.h"
 
 #include <cstdint>
@@ -26,21 +27,26 @@
 
 /// Load and health of one incarnation of an endpoint.
 struct EndpointLoad {
+    EndpointLoad();
+
     /// Own requests that have not ended.
     int running = 0;
     /// Expected time of the prompts that own requests still wait for.
     Duration pendingPrompts = Duration::zero();
-    /// The same of the other entry instances.
-    int peerRunning = 0;
-    Duration peerPendingPrompts = Duration::zero();
-    /// Observed time over expected time, a moving mean.
-    double slowness = 1;
-    /// Share of failures, a moving mean.
-    double failureShare = 0;
+    /// Seconds until own first outputs, over the seconds that were expected at an endpoint of nominal speed.
+    FadingSum times;
+    /// Own failures, over own answers and failures.
+    FadingSum failures;
+    /// Of the other entry instances.
+    EndpointUse peers;
     int consecutiveSilences = 0;
     MonotonicTime avoidUntil;
     /// Newest output of any own request.
     MonotonicTime lastOutput;
+
+    ObservationSum failuresOfAll(MonotonicTime now) const;
+    int requestsBeside() const;
+    Duration waitingPrompts() const;
 };
 
 /// One request at an endpoint; kept until `end`.
@@ -51,16 +57,13 @@
     bool isWaiting = true;
 };
 
-/// Load and health of all endpoints, from the router's own requests.
+/// Load and health of all endpoints, from the router's own requests and from what the other instances report.
 class EndpointLoads
 {
 public:
     LoadTicket begin(const EndpointEntry &endpoint, Duration expectedPrompt);
-    /// The first output arrived; `expected` is the time that was predicted for it.
-    void firstOutput(LoadTicket &ticket, Duration elapsed, Duration expected);
-    /// Observed time over expected time of all endpoints of a service, a moving mean. It grows faster than the endpoints' own
-    /// slowness where each of many instances sees few requests of each endpoint.
-    double congestion(const std::string &service) const;
+    /// The first output arrived; `expected` is the time that an endpoint of nominal speed would have taken.
+    void firstOutput(LoadTicket &ticket, Duration elapsed, Duration expected, MonotonicTime now);
     void recordOutput(const std::string &endpoint, MonotonicTime now);
     void end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now);
 
@@ -69,13 +72,31 @@
     EndpointLoad &at(const std::string &endpoint);
     void forget(const std::string &endpoint);
     const std::map<std::string, EndpointLoad> &all() const;
-    /// Replaces what the other instances have running, by endpoint.
-    void setPeerUse(const EndpointUses &use);
+    /// Observed over expected time of late, at all endpoints of a service and of all instances.
+    double usualSlowness(const std::string &service, MonotonicTime now) const;
+    /// Time that requests to a service waited of late before their own prompt was read, the mean of all instances.
+    Duration usualWait(const std::string &service, MonotonicTime now) const;
+    /// Replaces what the other instances have running and saw, by endpoint and by service.
+    void setPeerUse(const EndpointUses &use, const ServicePaces &paces);
+    /// What this instance has running and saw, without endpoints that it has not used of late.
+    EndpointUses ownUse(MonotonicTime now) const;
+    ServicePaces ownPaces(MonotonicTime now) const;
     bool isAvoided(const std::string &endpoint, MonotonicTime now) const;
 
 private:
+    struct FadingPace {
+        FadingPace();
+        ServicePace at(MonotonicTime now) const;
+
+        FadingSum slowness;
+        FadingSum waits;
+    };
+
+    ServicePace paceOfAll(const std::string &service, MonotonicTime now) const;
+
     std::map<std::string, EndpointLoad> loads;
-    std::map<std::string, double> congestions;
+    std::map<std::string, FadingPace> paces;
+    ServicePaces peerPaces;
 };
 
 } // namespace Godwitfork
--- a/Libraries/LibGateway/ModelLadder.cpp
+++ b/Libraries/LibGateway/ModelLadder.cpp
@@ -30,8 +30,9 @@
 /// Part of the remaining time within which an answer is expected to be complete.
 constexpr double finishShare = 0.85;
 
-/// Value that one request loses if it is delayed by a whole latency objective.
-constexpr double delayCost = 0.12;
+/// Value that the requests behind lose, relative to this one's, if the prompt takes a whole latency objective and the usual wait
+/// is one too. A backlog of one wait lasts several times as long and delays everyone who arrives meanwhile.
+constexpr double delayCost = 4;
 
 double ratio(Duration part, Duration whole)
 {
@@ -54,10 +55,9 @@
     return 1 - late * (1 - lateValue);
 }
 
-/// Value that the requests beside lose while the engine reads this prompt.
 double delayOfOthers(const ModelOption &option, const LadderTimes &times)
 {
-    return delayCost * option.requestsBeside * ratio(option.promptTime, times.latencyObjective);
+    return delayCost * ratio(times.usualWait, times.latencyObjective) * ratio(option.promptTime, times.latencyObjective);
 }
 } // namespace
 
--- a/Libraries/LibGateway/ModelLadder.h
+++ b/Libraries/LibGateway/ModelLadder.h
@@ -50,9 +50,8 @@
     double relativeCost = 1;
     Duration firstOutput = Duration::zero();
     Duration lastOutput = Duration::zero();
-    /// Time for which the engine reads the request's prompt, and the requests that it delays meanwhile.
+    /// Time for which the engine reads the request's prompt and lets others wait.
     Duration promptTime = Duration::zero();
-    int requestsBeside = 0;
 };
 
 struct LadderTimes {
@@ -62,6 +61,8 @@
     Duration untilObjective = Duration::zero();
     /// Time left until the final answer is due.
     Duration remaining = Duration::zero();
+    /// Time that requests to the service waited of late before their prompt was read.
+    Duration usualWait = Duration::zero();
 };
 
 /// Model to start with: the smallest one that is expected to finish in time; the others are reached by escalation. 0 if none
--- a/Libraries/LibGateway/PeerBoard.cpp
+++ b/Libraries/LibGateway/PeerBoard.cpp
@@ -87,6 +87,13 @@
         for (const auto &[endpoint, use] : report.endpoints) {
             summary.endpoints[endpoint] += use;
         }
+        for (const auto &[service, pace] : report.paces) {
+            summary.paces[service] += pace;
+        }
+        for (const auto &[endpoint, parts] : report.placements) {
+            std::vector<CachedPart> &known = summary.placements[endpoint];
+            known.insert(known.end(), parts.begin(), parts.end());
+        }
         leaving.insert(report.leaving.begin(), report.leaving.end());
         for (const TrialReport &trial : report.trials) {
             addTrial(summary.trials, trial, now - entry.heard);
@@ -132,6 +139,19 @@
         if (known != result.end()) {
             known->second.running = std::max(0, known->second.running - use.running);
             known->second.pendingPrompts = std::max(Duration::zero(), known->second.pendingPrompts - use.pendingPrompts);
+            known->second.failures -= use.failures;
+        }
+    }
+    return result;
+}
+
+ServicePaces withoutOwn(const ServicePaces &total, const ServicePaces &own)
+{
+    ServicePaces result = total;
+    for (const auto &[service, pace] : own) {
+        const auto known = result.find(service);
+        if (known != result.end()) {
+            known->second -= pace;
         }
     }
     return result;
--- a/Libraries/LibGateway/PeerBoard.h
+++ b/Libraries/LibGateway/PeerBoard.h
@@ -40,6 +40,7 @@
 
 /// The uses in a summary without one instance's own part.
 EndpointUses withoutOwn(const EndpointUses &total, const EndpointUses &own);
+ServicePaces withoutOwn(const ServicePaces &total, const ServicePaces &own);
 /// The observations in a summary without one instance's own part.
 TrialObservations withoutOwn(const TrialObservations &total, const TrialObservations &own);
 
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace Godwitfork
 {
 
@@ -14,6 +16,8 @@
 
 /// The report itself nests five levels deep.
 constexpr int maxDepth = 8;
+/// Observations are sent as whole hundredths, which take fewer bytes than fractions.
+constexpr double observationUnits = 100;
 
 std::int64_t toMilliseconds(Duration time)
 {
@@ -78,11 +82,21 @@
     return trial;
 }
 
+Json encodeObservations(const ObservationSum &observations)
+{
+    return Json::array({std::llround(observations.sum * observationUnits), std::llround(observations.weight * observationUnits)});
+}
+
+ObservationSum decodeObservations(const Json &json)
+{
+    return {json.at(0).get<double>() / observationUnits, json.at(1).get<double>() / observationUnits};
+}
+
 Json encodeEndpoints(const EndpointUses &uses)
 {
     Json endpoints = Json::object();
     for (const auto &[id, use] : uses) {
-        endpoints[id] = Json::array({use.running, toMilliseconds(use.pendingPrompts)});
+        endpoints[id] = Json::array({use.running, toMilliseconds(use.pendingPrompts), encodeObservations(use.failures)});
     }
     return endpoints;
 }
@@ -91,11 +105,53 @@
 {
     EndpointUses uses;
     for (const auto &[id, use] : json.items()) {
-        uses[id] = {use.at(0).get<int>(), std::chrono::milliseconds(use.at(1).get<std::int64_t>())};
+        uses[id] = {use.at(0).get<int>(), std::chrono::milliseconds(use.at(1).get<std::int64_t>()), decodeObservations(use.at(2))};
     }
     return uses;
 }
 
+Json encodePaces(const ServicePaces &paces)
+{
+    Json json = Json::object();
+    for (const auto &[service, pace] : paces) {
+        json[service] = Json::array({encodeObservations(pace.slowness), encodeObservations(pace.waits)});
+    }
+    return json;
+}
+
+ServicePaces decodePaces(const Json &json)
+{
+    ServicePaces paces;
+    for (const auto &[service, pace] : json.items()) {
+        paces[service] = {decodeObservations(pace.at(0)), decodeObservations(pace.at(1))};
+    }
+    return paces;
+}
+
+Json encodePlacements(const CachePlacements &placements)
+{
+    Json json = Json::object();
+    for (const auto &[endpoint, parts] : placements) {
+        Json &list = json[endpoint] = Json::array();
+        for (const CachedPart &part : parts) {
+            list.push_back(part.key);
+            list.push_back(part.tokens);
+        }
+    }
+    return json;
+}
+
+CachePlacements decodePlacements(const Json &json)
+{
+    CachePlacements placements;
+    for (const auto &[endpoint, list] : json.items()) {
+        for (std::size_t i = 0; i + 1 < list.size(); i += 2) {
+            placements[endpoint].push_back({list.at(i).get<std::uint64_t>(), list.at(i + 1).get<std::int64_t>()});
+        }
+    }
+    return placements;
+}
+
 Json encodeLeaving(const std::vector<LeavingEndpoint> &leaving)
 {
     Json json = Json::array();
@@ -167,6 +223,21 @@
 {
     this->running += other.running;
     this->pendingPrompts += other.pendingPrompts;
+    this->failures += other.failures;
+    return *this;
+}
+
+ServicePace &ServicePace::operator+=(const ServicePace &other)
+{
+    this->slowness += other.slowness;
+    this->waits += other.waits;
+    return *this;
+}
+
+ServicePace &ServicePace::operator-=(const ServicePace &other)
+{
+    this->slowness -= other.slowness;
+    this->waits -= other.waits;
     return *this;
 }
 
@@ -186,6 +257,8 @@
                                 report.fleetHash,
                                 report.configuration,
                                 encodeEndpoints(report.endpoints),
+                                encodePaces(report.paces),
+                                encodePlacements(report.placements),
                                 encodeLeaving(report.leaving),
                                 encodeTrials(report.trials)}));
 }
@@ -201,6 +274,8 @@
                                 summary.configuration,
                                 summary.configurationHolder,
                                 encodeEndpoints(summary.endpoints),
+                                encodePaces(summary.paces),
+                                encodePlacements(summary.placements),
                                 encodeLeaving(summary.leaving),
                                 encodeTrials(summary.trials)}));
 }
@@ -214,8 +289,10 @@
         report.fleetHash = json.at(2).get<std::uint64_t>();
         report.configuration = json.at(3).get<ConfigurationVersion>();
         report.endpoints = decodeEndpoints(json.at(4));
-        report.leaving = decodeLeaving(json.at(5));
-        report.trials = decodeTrials(json.at(6));
+        report.paces = decodePaces(json.at(5));
+        report.placements = decodePlacements(json.at(6));
+        report.leaving = decodeLeaving(json.at(7));
+        report.trials = decodeTrials(json.at(8));
         return report;
     });
 }
@@ -231,8 +308,10 @@
         summary.configuration = json.at(2).get<ConfigurationVersion>();
         summary.configurationHolder = json.at(3).get<std::string>();
         summary.endpoints = decodeEndpoints(json.at(4));
-        summary.leaving = decodeLeaving(json.at(5));
-        summary.trials = decodeTrials(json.at(6));
+        summary.paces = decodePaces(json.at(5));
+        summary.placements = decodePlacements(json.at(6));
+        summary.leaving = decodeLeaving(json.at(7));
+        summary.trials = decodeTrials(json.at(8));
         return summary;
     });
 }
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Error.h"
 #include "LibGateway/Catalog.h"
+#include "LibGateway/FadingSum.h"
 #include "LibRollout/VersionTrial.h"
 
 #include <cstdint>
@@ -13,10 +14,11 @@
 namespace Godwitfork
 {
 
-/// What is running at an endpoint.
+/// What is running at an endpoint, and how many requests failed there of late.
 struct EndpointUse {
     int running = 0;
     Duration pendingPrompts = Duration::zero();
+    ObservationSum failures;
 
     EndpointUse &operator+=(const EndpointUse &other);
     auto operator<=>(const EndpointUse &) const = default;
@@ -24,6 +26,33 @@
 
 using EndpointUses = std::map<std::string, EndpointUse>;
 
+/// How a service's endpoints answered of late.
+struct ServicePace {
+    /// Seconds until first outputs, over the seconds that were expected at endpoints of nominal speed.
+    ObservationSum slowness;
+    /// Seconds that first outputs came later than on an idle endpoint, over their number.
+    ObservationSum waits;
+
+    ServicePace &operator+=(const ServicePace &other);
+    ServicePace &operator-=(const ServicePace &other);
+    auto operator<=>(const ServicePace &) const = default;
+};
+
+using ServicePaces = std::map<std::string, ServicePace>;
+
+/// A leading run of prompt parts that an engine read.
+struct CachedPart {
+    /// Of the run, for one model; see `promptChain`.
+    std::uint64_t key = 0;
+    /// Of its last part.
+    std::int64_t tokens = 0;
+
+    auto operator<=>(const CachedPart &) const = default;
+};
+
+/// Shared parts that engines read of late, by endpoint, leading ones first.
+using CachePlacements = std::map<std::string, std::vector<CachedPart>>;
+
 struct LeavingEndpoint {
     std::string id;
     std::int64_t incarnation = 0;
@@ -61,6 +90,8 @@
     std::uint64_t fleetHash = 0;
     ConfigurationVersion configuration = 0;
     EndpointUses endpoints;
+    ServicePaces paces;
+    CachePlacements placements;
     std::vector<LeavingEndpoint> leaving;
     std::vector<TrialReport> trials;
 
@@ -77,6 +108,8 @@
     ConfigurationVersion configuration = 0;
     std::string configurationHolder;
     EndpointUses endpoints;
+    ServicePaces paces;
+    CachePlacements placements;
     std::vector<LeavingEndpoint> leaving;
     std::vector<TrialReport> trials;
 
--- a/Libraries/LibGateway/PromptCacheView.cpp
+++ b/Libraries/LibGateway/PromptCacheView.cpp
@@ -16,6 +16,15 @@
     return chain;
 }
 
+std::vector<CachedPart> cachedParts(const std::vector<std::uint64_t> &chain, const std::vector<PromptPart> &parts)
+{
+    std::vector<CachedPart> result;
+    for (std::size_t i = 0; i < chain.size(); ++i) {
+        result.push_back({chain[i], parts[i].tokens});
+    }
+    return result;
+}
+
 PromptCacheView::PromptCacheView(std::int64_t capacityTokens) : capacityTokens(capacityTokens)
 {
 }
@@ -32,18 +41,18 @@
     return tokens;
 }
 
-void PromptCacheView::record(const std::vector<std::uint64_t> &chain, const std::vector<PromptPart> &parts)
+void PromptCacheView::record(const std::vector<CachedPart> &parts)
 {
     // From the last part to the first, so that leading parts are used more recently and drop out last.
-    for (std::size_t i = chain.size(); i-- > 0;) {
-        const auto known = this->byKey.find(chain[i]);
+    for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
+        const auto known = this->byKey.find(part->key);
         if (known != this->byKey.end()) {
             this->entries.splice(this->entries.begin(), this->entries, known->second);
             continue;
         }
-        this->entries.push_front({chain[i], parts[i].tokens});
-        this->byKey[chain[i]] = this->entries.begin();
-        this->usedTokens += parts[i].tokens;
+        this->entries.push_front(*part);
+        this->byKey[part->key] = this->entries.begin();
+        this->usedTokens += part->tokens;
     }
     while (this->usedTokens > this->capacityTokens && !this->entries.empty()) {
         this->usedTokens -= this->entries.back().tokens;
--- a/Tests/LibGateway/TestEndpointChooser.cpp
+++ b/Tests/LibGateway/TestEndpointChooser.cpp
@@ -166,13 +166,13 @@
     PromptCacheView cache(20000);
     const std::vector<PromptPart> parts = {{"a", 8000}, {"b", 4000}, {"c", 1000}};
     const auto chain = promptChain("m", parts);
-    cache.record(chain, parts);
+    cache.record(cachedParts(chain, parts));
     CHECK(cache.cachedTokens(chain, parts) == 13000);
     const std::vector<PromptPart> other = {{"b", 4000}, {"c", 1000}};
     CHECK(cache.cachedTokens(promptChain("m", other), other) == 0);
     CHECK(cache.cachedTokens(promptChain("n", parts), parts) == 0);
     // The least recently used parts drop out.
     const std::vector<PromptPart> large = {{"z", 12500}};
-    cache.record(promptChain("m", large), large);
+    cache.record(cachedParts(promptChain("m", large), large));
     CHECK(cache.cachedTokens(chain, parts) < 13000);
 }
