Ask a store that is away with one kind only, and look for another hub before watching it directly

Instances that were cut off or turned away asked it for three kinds at once; each lost hub made its followers watch the store until the next one was found; a storm of configurations ended a watch of every instance each 80 ms. Ruled out: longer pauses while nothing is heard from peers, since a restarted instance could not serve until the next one. Change: the first follower that fails probes for all kinds; 800 ms to find another hub; 300 ms between a new configuration and the next watch.

--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -22,8 +22,13 @@
 constexpr Duration usualWatchWait = std::chrono::seconds(8);
 /// Between two looks whether the store is to be watched again.
 constexpr Duration relayCheckInterval = std::chrono::milliseconds(50);
-/// Between a change of an endpoint and the next watch; small against the bounds for endpoints that leave.
-constexpr Duration burstGap = std::chrono::milliseconds(120);
+/// Between a change and the next watch; small against the bounds for endpoints that leave and for new configurations.
+constexpr Duration endpointGap = std::chrono::milliseconds(120);
+constexpr Duration configurationGap = std::chrono::milliseconds(300);
+/// Time for finding another hub before the store is watched directly: one pause and one opened relay.
+constexpr Duration relaySearchTime = std::chrono::milliseconds(800);
+/// A follower that waits for another one's probe of the store asks it itself after this.
+constexpr Duration longestProbeWait = std::chrono::seconds(3);
 /// Changes kept for other instances; some seconds of a busy fleet.
 constexpr std::size_t historyPages = 200;
 constexpr Duration minBackoff = std::chrono::milliseconds(100);
@@ -50,7 +55,7 @@
 Asio::awaitable<void> CatalogFollower::run()
 {
     while (!this->stopped) {
-        if (this->revision && this->relayed) {
+        if (this->revision && !this->watchesStore(monotonicNow())) {
             co_await this->pause(relayCheckInterval);
         } else if (this->revision) {
             co_await this->watchOnce();
@@ -103,12 +108,17 @@
         this->latest.add({*this->revision, page.value().revision, page.value().source});
     }
     this->applyPage(page.value());
-    // Changes of endpoints come in bursts; one call tells several of them.
-    if (this->kind == CatalogKind::Endpoints && !page.value().changes.empty()) {
-        co_await this->pause(burstGap);
+    // Changes come in bursts; one call tells several of them.
+    if (!page.value().changes.empty()) {
+        co_await this->pause(this->kind == CatalogKind::Configuration ? configurationGap : endpointGap);
     }
 }
 
+bool CatalogFollower::watchesStore(MonotonicTime now) const
+{
+    return !this->relayed && now - this->relayLostAt >= relaySearchTime;
+}
+
 Asio::awaitable<void> CatalogFollower::pause(Duration duration)
 {
     Asio::steady_timer timer(this->context, duration);
@@ -156,10 +166,16 @@
 
 void CatalogFollower::setRelayed(bool isRelayed)
 {
+    if (this->relayed && !isRelayed) {
+        this->relayLostAt = monotonicNow();
+    }
     this->relayed = isRelayed;
     if (isRelayed && this->canceller) {
         this->canceller->cancel();
     }
+    if (isRelayed && this->state.storeProber == this->kind) {
+        this->state.storeProber.reset();
+    }
 }
 
 bool CatalogFollower::applyRelayed(const HistoryPage &page)
@@ -185,14 +201,29 @@
         this->failingSince = monotonicNow();
         logEvent(LogLevel::Warning, "store.lost", failureFields(this->kind, error));
     }
+    if (this->state.storeProber && this->state.storeProber != this->kind) {
+        co_await this->waitForProbe();
+        co_return;
+    }
+    this->state.storeProber = this->kind;
     std::uniform_real_distribution<double> jitter(0.5, 1);
     const auto delay = std::chrono::duration_cast<Duration>(this->backoff * jitter(this->state.random));
     this->backoff = std::min(this->backoff * 2, this->state.hearsPeers ? maxBackoffBesidePeers : maxBackoff);
     co_await this->pause(delay);
 }
 
+// Each call to a store that is away is counted and priced, so one kind asks for all.
+Asio::awaitable<void> CatalogFollower::waitForProbe()
+{
+    const MonotonicTime limit = monotonicNow() + longestProbeWait;
+    while (this->state.storeProber && !this->stopped && monotonicNow() < limit) {
+        co_await this->pause(relayCheckInterval);
+    }
+}
+
 void CatalogFollower::recordSuccess()
 {
+    this->state.storeProber.reset();
     this->backoff = minBackoff;
     this->confirmed = monotonicNow();
     if (!this->failingSince) {
--- a/Libraries/LibEntry/CatalogFollower.h
+++ b/Libraries/LibEntry/CatalogFollower.h
@@ -44,6 +44,9 @@
     boost::asio::awaitable<void> pauseAfterFailure(const CatalogError &error);
     boost::asio::awaitable<void> pause(Duration duration);
     void recordSuccess();
+    /// Whether the store is left to this follower's own calls now.
+    bool watchesStore(MonotonicTime now) const;
+    boost::asio::awaitable<void> waitForProbe();
     SnapshotTrust trust() const;
     void applyList(const CatalogPage &page);
     void applyChange(const CatalogChange &change);
@@ -58,6 +61,8 @@
     CatalogHistory latest;
     Duration watchWait;
     bool relayed = false;
+    /// When the last relay ended.
+    MonotonicTime relayLostAt;
     std::shared_ptr<HttpCallCanceller> canceller;
     std::optional<MonotonicTime> failingSince;
     Duration backoff;
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Godwitfork
@@ -38,6 +39,8 @@
     ConfidenceGains confidenceGains;
     /// By service.
     std::map<std::string, RetryBudget> retryBudgets;
+    /// Kind whose follower asks a store that did not answer; the others wait for it.
+    std::optional<CatalogKind> storeProber;
     /// Another instance that reads the store itself answered lately.
     bool hearsPeers = false;
     RandomSource random;
