--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -173,8 +173,8 @@
     if (isRelayed && this->canceller) {
         this->canceller->cancel();
     }
-    if (isRelayed && this->state.storeProber == this->kind) {
-        this->state.storeProber.reset();
+    if (isRelayed) {
+        this->state.storeProbe.release(this->kind);
     }
 }
 
@@ -201,11 +201,10 @@
         this->failingSince = monotonicNow();
         logEvent(LogLevel::Warning, "store.lost", failureFields(this->kind, error));
     }
-    if (this->state.storeProber && this->state.storeProber != this->kind) {
+    if (!this->state.storeProbe.takeOver(this->kind)) {
         co_await this->waitForProbe();
         co_return;
     }
-    this->state.storeProber = this->kind;
     std::uniform_real_distribution<double> jitter(0.5, 1);
     const auto delay = std::chrono::duration_cast<Duration>(this->backoff * jitter(this->state.random));
     this->backoff = std::min(this->backoff * 2, this->state.hearsPeers ? maxBackoffBesidePeers : maxBackoff);
@@ -216,14 +215,14 @@
 Asio::awaitable<void> CatalogFollower::waitForProbe()
 {
     const MonotonicTime limit = monotonicNow() + longestProbeWait;
-    while (this->state.storeProber && !this->stopped && monotonicNow() < limit) {
+    while (this->state.storeProbe.isWaiting(this->kind) && !this->stopped && monotonicNow() < limit) {
         co_await this->pause(relayCheckInterval);
     }
 }
 
 void CatalogFollower::recordSuccess()
 {
-    this->state.storeProber.reset();
+    this->state.storeProbe.succeed();
     this->backoff = minBackoff;
     this->confirmed = monotonicNow();
     if (!this->failingSince) {
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -8,12 +8,12 @@
 #include "LibGateway/ModelLadder.h"
 #include "LibGateway/PeerReport.h"
 #include "LibGateway/RouteTable.h"
+#include "LibGateway/StoreProbe.h"
 #include "LibGateway/VersionPolicy.h"
 #include "LibRouting/RetryBudget.h"
 
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace Godwitfork
@@ -39,8 +39,7 @@
     ConfidenceGains confidenceGains;
     /// By service.
     std::map<std::string, RetryBudget> retryBudgets;
-    /// Kind whose follower asks a store that did not answer; the others wait for it.
-    std::optional<CatalogKind> storeProber;
+    StoreProbe storeProbe;
     /// Another instance that reads the store itself answered lately.
     bool hearsPeers = false;
     RandomSource random;
--- a/Tests/LibGateway/TestEndpointChooser.cpp
+++ b/Tests/LibGateway/TestEndpointChooser.cpp
@@ -96,9 +96,9 @@
     query.service = "pool";
     query.model = "large";
     query.promptTokens = 500;
-    chooser.loads().setPeerUse({{"e0", {20, 5s}}});
+    chooser.loads().setPeerUse({{"e0", {20, 5s, {}}}}, {});
     CHECK(chooser.choose(pool.pointers, query, start, random)->endpoint.id == "e1");
-    chooser.loads().setPeerUse({{"e1", {20, 5s}}});
+    chooser.loads().setPeerUse({{"e1", {20, 5s, {}}}}, {});
     CHECK(chooser.choose(pool.pointers, query, start, random)->endpoint.id == "e0");
 }
 
@@ -139,6 +139,65 @@
     CHECK(toFailing == 0);
 }
 
+TEST_CASE("A prompt goes where another instance let its shared part be read", "[chooser]")
+{
+    // Pattern: hundreds of shared parts and many instances, each of which sees every part only now and then.
+    const Pool pool(9);
+    EndpointChooser first("c");
+    EndpointChooser second("c");
+    RandomSource random(1);
+    const ChoiceQuery query = longPrompt("part", "own1");
+    const EndpointEntry *away = nullptr;
+    for (const EndpointEntry *candidate : pool.pointers) {
+        away = first.choose(pool.pointers, query, start, random)->endpoint.id == candidate->id ? away : candidate;
+    }
+    first.begin(query, *first.choose({away}, query, start, random));
+    const CachePlacements told = first.takePlacements();
+    REQUIRE(told.contains(away->id));
+    // The own part of a prompt is of no use to others.
+    CHECK(told.at(away->id).size() == 1);
+    CHECK(first.takePlacements().empty());
+    second.recordPlacement(away->id, told.at(away->id), query.memoryTokens);
+    const auto choice = second.choose(pool.pointers, longPrompt("part", "own2"), start, random);
+    CHECK(choice->endpoint.id == away->id);
+    CHECK(choice->uncachedTokens == 4000);
+}
+
+TEST_CASE("A peak is forgotten at endpoints that are not asked any more", "[chooser]")
+{
+    // Pattern: a wave; the slowness seen at its peak kept requests from idle engines long after it.
+    const Pool pool(2);
+    EndpointChooser chooser("c");
+    RandomSource random(1);
+    ChoiceQuery query;
+    query.service = "pool";
+    query.model = "large";
+    query.promptTokens = 500;
+    const Duration idle = chooser.choose(pool.pointers, query, start, random)->firstOutput;
+    for (int i = 0; i < 10; ++i) {
+        const auto choice = chooser.choose(pool.pointers, query, start, random);
+        LoadTicket ticket = chooser.begin(query, *choice);
+        chooser.firstOutput(ticket, query, *choice, start, start + 2s);
+        chooser.end(ticket, EndpointResult::Success, start + 2s);
+    }
+    CHECK(chooser.choose(pool.pointers, query, start + 2s, random)->firstOutput > idle * 5);
+    CHECK(chooser.loads().usualWait("pool", start + 2s) > 1s);
+    CHECK(chooser.choose(pool.pointers, query, start + 30s, random)->firstOutput < idle * 2);
+    CHECK(chooser.loads().usualWait("pool", start + 30s) < 100ms);
+}
+
+TEST_CASE("The wait that other instances saw counts as much as the own one", "[chooser]")
+{
+    // Pattern: a burst in another failure domain; this instance has not met it yet.
+    EndpointLoads loads;
+    CHECK(loads.usualWait("pool", start) == Duration::zero());
+    loads.setPeerUse({}, {{"pool", {{40, 10}, {99, 99}}}});
+    CHECK(loads.usualWait("pool", start) > 900ms);
+    CHECK(loads.usualSlowness("pool", start) > 3);
+    loads.setPeerUse({}, {});
+    CHECK(loads.usualWait("pool", start) == Duration::zero());
+}
+
 TEST_CASE("The speed of a model is learned from prompts read alone", "[chooser]")
 {
     EngineSpeeds speeds;
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -14,7 +14,9 @@
     PeerReport report;
     report.sender = {"entry-1", "10.0.0.1:7000"};
     report.configuration = 12;
-    report.endpoints["e1"] = {3, 450ms};
+    report.endpoints["e1"] = {3, 450ms, {1.5, 4}};
+    report.paces["pool"] = {{12.25, 3.5}, {7, 20}};
+    report.placements["e1"] = {{0xfedcba9876543210, 13000}, {7, 400}};
     report.leaving = {{"e2", 1700000000000}};
     TrialReport trial;
     trial.service = "pool";
@@ -44,6 +46,8 @@
     summary.configuration = 12;
     summary.configurationHolder = "10.0.0.1:7000";
     summary.endpoints = fullReport().endpoints;
+    summary.paces = fullReport().paces;
+    summary.placements = fullReport().placements;
     summary.leaving = fullReport().leaving;
     summary.trials = fullReport().trials;
     const auto decoded = decodePeerSummary(encodePeerSummary(summary));
