Share what the fleet has left of its retries, and weigh long answers by their chance to finish

Ruled out: a larger share for each instance, whose sum could pass the bound. Change: reports hold requests and retries of the window; each look gives half of the rest to the instances in equal parts. The chance to finish falls from 70 % to 130 % of the time left. Test: "Spare retries keep the sum of all instances within the bound" plays 40 instances that retry whatever they may for a minute of swinging traffic, with views up to a second old.

--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -34,8 +34,6 @@
 constexpr Duration configurationWatchWait = std::chrono::seconds(15);
 /// Short, so that the instances which follow a hub know that it still hears from the store.
 constexpr Duration hubWatchWait = std::chrono::seconds(2);
-/// Part of the fixed retry allowance that is given out; the rest covers instances that are not known yet.
-constexpr double retryAllowanceShare = 0.5;
 /// Between two tries to write the state of a roll-out.
 constexpr Duration rolloutWritePause = std::chrono::milliseconds(400);
 
@@ -206,7 +204,7 @@
 void EntryService::applyFleetSize()
 {
     this->state.hearsPeers = this->relay->isFollowing();
-    const double share = this->peers.knowsFleet() ? retryAllowanceShare / this->peers.liveInstances() : 0;
+    const double share = this->peers.knowsFleet() ? 1.0 / this->peers.liveInstances() : 0;
     this->state.setRetryAllowance(static_cast<double>(this->state.settings.retryAllowance) * share);
 }
 
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -51,9 +51,17 @@
     RetryBudget &retryBudget(const std::string &service);
     /// Retries that each service is allowed besides its share of requests, at this instance.
     void setRetryAllowance(double allowance);
+    /// Adds this instance's requests and retries to what it tells the others.
+    void addRetryUses(ServicePaces &paces, MonotonicTime now) const;
+    /// Lets this instance use a part of what all instances together have left of their retries.
+    void shareSpareRetries(const ServicePaces &pacesOfAll, int instances);
 
 private:
+    void applyRetryRule(const std::string &service, RetryBudget &budget);
+
     double retryAllowance = 0;
+    /// By service.
+    std::map<std::string, double> spares;
 };
 
 } // namespace Godwitfork
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -93,6 +93,7 @@
     report.configuration = this->state.routes ? this->state.routes->configuration().version : 0;
     report.endpoints = this->state.chooser.loads().ownUse(now);
     report.paces = this->state.chooser.loads().ownPaces(now);
+    this->state.addRetryUses(report.paces, now);
     for (const EndpointEntry *endpoint : this->state.endpoints.draining()) {
         report.leaving.push_back({endpoint->id, endpoint->incarnation});
     }
@@ -145,6 +146,7 @@
     if (now - this->summaryAt > loadLifetime) {
         this->otherUses.clear();
         this->state.chooser.loads().setPeerUse({}, {});
+        this->state.shareSpareRetries({}, this->liveInstances());
     }
     if (now < this->nextReport && !this->isUrgent()) {
         return;
@@ -232,6 +234,7 @@
     this->summaryAt = now;
     this->otherUses = withoutOwn(summary.endpoints, own.endpoints);
     this->state.chooser.loads().setPeerUse(this->otherUses, withoutOwn(summary.paces, own.paces));
+    this->state.shareSpareRetries(summary.paces, this->liveInstances());
     for (TrialReport trial : summary.trials) {
         for (const TrialReport &sent : own.trials) {
             if (sent.service == trial.service && sent.target == trial.target) {
--- a/Libraries/LibGateway/EndpointLoads.cpp
+++ b/Libraries/LibGateway/EndpointLoads.cpp
@@ -54,7 +54,7 @@
 
 ServicePace EndpointLoads::FadingPace::at(MonotonicTime now) const
 {
-    return {this->slowness.at(now), this->waits.at(now)};
+    return {this->slowness.at(now), this->waits.at(now), {}};
 }
 
 LoadTicket EndpointLoads::begin(const EndpointEntry &endpoint, Duration expectedPrompt)
--- a/Libraries/LibGateway/ModelLadder.cpp
+++ b/Libraries/LibGateway/ModelLadder.cpp
@@ -27,8 +27,12 @@
 constexpr double lateValue = 0.3;
 /// Expected times scatter by about this share, so timeliness falls off around the objective.
 constexpr double timeScatter = 0.4;
-/// Part of the remaining time within which an answer is expected to be complete.
+/// Part of the remaining time within which the first model is expected to complete its answer.
 constexpr double finishShare = 0.85;
+/// Expected lengths of answers scatter widely: within the first part of the remaining time an answer counts as certain to be
+/// complete, beyond the second as certain not to be.
+constexpr double certainFinish = 0.7;
+constexpr double impossibleFinish = 1.3;
 
 /// Value that the requests behind lose, relative to this one's, if the prompt takes a whole latency objective and the usual wait
 /// is one too. A backlog of one wait lasts several times as long and delays everyone who arrives meanwhile.
@@ -44,15 +48,19 @@
     return ratio(option.lastOutput, times.remaining) <= finishShare;
 }
 
+/// Probability that the answer is complete before it is due.
+double finishProbability(const ModelOption &option, const LadderTimes &times)
+{
+    const double used = ratio(option.lastOutput, times.remaining);
+    return std::clamp((impossibleFinish - used) / (impossibleFinish - certainFinish), 0.0, 1.0);
+}
+
 /// Value of a good answer at the expected time, relative to one on time.
 double timeliness(const ModelOption &option, const LadderTimes &times)
 {
-    if (!isFinishedInTime(option, times)) {
-        return 0;
-    }
     const double used = ratio(option.firstOutput, times.untilObjective);
     const double late = std::clamp((used - (1 - timeScatter)) / (2 * timeScatter), 0.0, 1.0);
-    return 1 - late * (1 - lateValue);
+    return finishProbability(option, times) * (1 - late * (1 - lateValue));
 }
 
 double delayOfOthers(const ModelOption &option, const LadderTimes &times)
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace Godwitfork
@@ -114,7 +115,7 @@
 {
     Json json = Json::object();
     for (const auto &[service, pace] : paces) {
-        json[service] = Json::array({encodeObservations(pace.slowness), encodeObservations(pace.waits)});
+        json[service] = Json::array({encodeObservations(pace.slowness), encodeObservations(pace.waits), pace.retries.requests, pace.retries.retries});
     }
     return json;
 }
@@ -123,7 +124,8 @@
 {
     ServicePaces paces;
     for (const auto &[service, pace] : json.items()) {
-        paces[service] = {decodeObservations(pace.at(0)), decodeObservations(pace.at(1))};
+        const RetryUse retries {pace.at(2).get<std::int64_t>(), pace.at(3).get<std::int64_t>()};
+        paces[service] = {decodeObservations(pace.at(0)), decodeObservations(pace.at(1)), retries};
     }
     return paces;
 }
@@ -231,6 +233,7 @@
 {
     this->slowness += other.slowness;
     this->waits += other.waits;
+    this->retries += other.retries;
     return *this;
 }
 
@@ -238,6 +241,8 @@
 {
     this->slowness -= other.slowness;
     this->waits -= other.waits;
+    this->retries.requests = std::max<std::int64_t>(0, this->retries.requests - other.retries.requests);
+    this->retries.retries = std::max<std::int64_t>(0, this->retries.retries - other.retries.retries);
     return *this;
 }
 
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -4,6 +4,7 @@
 #include "LibGateway/Catalog.h"
 #include "LibGateway/FadingSum.h"
 #include "LibRollout/VersionTrial.h"
+#include "LibRouting/RetryBudget.h"
 
 #include <cstdint>
 #include <map>
@@ -32,6 +33,8 @@
     ObservationSum slowness;
     /// Seconds that first outputs came later than on an idle endpoint, over their number.
     ObservationSum waits;
+    /// Of the retry budget's window.
+    RetryUse retries;
 
     ServicePace &operator+=(const ServicePace &other);
     ServicePace &operator-=(const ServicePace &other);
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -1,5 +1,7 @@
 #include "LibRouting/RetryBudget.h"
 
+#include <algorithm>
+
 namespace Godwitfork
 {
 
@@ -25,19 +27,37 @@
     ++currentSecond(budget, secondOf(now)).requests;
 }
 
-bool hasRetry(const RetryBudget &budget, MonotonicTime now)
+RetryUse &RetryUse::operator+=(const RetryUse &other)
+{
+    this->requests += other.requests;
+    this->retries += other.retries;
+    return *this;
+}
+
+RetryUse retryUse(const RetryBudget &budget, MonotonicTime now)
 {
     const std::int64_t second = secondOf(now);
-    std::int64_t requests = 0;
-    std::int64_t retries = 0;
+    RetryUse use;
     for (const RetryBudget::Second &entry : budget.seconds) {
         if (entry.second >= 0 && entry.second > second - RetryBudget::windowSeconds) {
-            requests += entry.requests;
-            retries += entry.retries;
+            use += {entry.requests, entry.retries};
         }
     }
-    const double limit = budget.rule.allowance + budget.rule.share * static_cast<double>(requests);
-    return static_cast<double>(retries + 1) <= limit;
+    return use;
+}
+
+double spareRetries(const RetryRule &ruleOfAll, const RetryUse &useOfAll, int instances)
+{
+    constexpr double givenOut = 0.5;
+    const double limit = ruleOfAll.allowance + ruleOfAll.share * static_cast<double>(useOfAll.requests);
+    return std::max(0.0, limit - static_cast<double>(useOfAll.retries)) * givenOut / std::max(1, instances);
+}
+
+bool hasRetry(const RetryBudget &budget, MonotonicTime now)
+{
+    const RetryUse use = retryUse(budget, now);
+    const double limit = budget.rule.allowance + budget.rule.share * static_cast<double>(use.requests);
+    return static_cast<double>(use.retries + 1) <= limit;
 }
 
 bool takeRetry(RetryBudget &budget, MonotonicTime now)
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -18,6 +18,15 @@
     auto operator<=>(const RetryRule &) const = default;
 };
 
+/// Requests and retries of one window.
+struct RetryUse {
+    std::int64_t requests = 0;
+    std::int64_t retries = 0;
+
+    RetryUse &operator+=(const RetryUse &other);
+    auto operator<=>(const RetryUse &) const = default;
+};
+
 /// Limits retries and hedges to a share of the recent requests, so that retries cannot amplify an overload. The default
 /// rule is that of one client account.
 struct RetryBudget {
@@ -33,6 +42,12 @@
     std::array<Second, windowSeconds> seconds {};
 };
 
+RetryUse retryUse(const RetryBudget &budget, MonotonicTime now);
+
+/// Retries that one of `instances` instances may take beyond its own share, from what all together had left at the last look.
+/// Each look gives out half of the rest, so that instances which use theirs at once stay below the rule of all.
+double spareRetries(const RetryRule &ruleOfAll, const RetryUse &useOfAll, int instances);
+
 /// Counts one request of a caller, not its retries.
 void recordRequest(RetryBudget &budget, MonotonicTime now);
 
--- a/Tests/LibGateway/TestEndpointChooser.cpp
+++ b/Tests/LibGateway/TestEndpointChooser.cpp
@@ -191,7 +191,7 @@
     // Pattern: a burst in another failure domain; this instance has not met it yet.
     EndpointLoads loads;
     CHECK(loads.usualWait("pool", start) == Duration::zero());
-    loads.setPeerUse({}, {{"pool", {{40, 10}, {99, 99}}}});
+    loads.setPeerUse({}, {{"pool", {{40, 10}, {99, 99}, {}}}});
     CHECK(loads.usualWait("pool", start) > 900ms);
     CHECK(loads.usualSlowness("pool", start) > 3);
     loads.setPeerUse({}, {});
--- a/Tests/LibRouting/TestRetry.cpp
+++ b/Tests/LibRouting/TestRetry.cpp
@@ -1,3 +1,4 @@
+#include "LibCore/Random.h"
 #include "LibRouting/HedgeRule.h"
 #include "LibRouting/RetryBudget.h"
 #include "LibRouting/RetryRules.h"
@@ -36,6 +37,52 @@
     }));
 }
 
+// Guards against instances that together pass the bound of all, when each also uses a part of what the fleet had left at its last look.
+TEST_CASE("Spare retries keep the sum of all instances within the bound")
+{
+    // Pattern: an endpoint fails everything; every instance retries as often as it may, with views that are up to a second old.
+    constexpr int instances = 40;
+    const RetryRule ruleOfAll {0.9 * 0.85, 80};
+    std::vector<RetryBudget> budgets(instances);
+    std::vector<MonotonicTime> requests;
+    std::vector<MonotonicTime> retries;
+    RandomSource random(20261204);
+    std::uniform_int_distribution<int> chance(0, 99);
+    const MonotonicTime start {std::chrono::hours(1)};
+    for (int tick = 0; tick < 600; ++tick) {
+        const MonotonicTime now = start + std::chrono::milliseconds(100) * tick;
+        RetryUse useOfAll;
+        for (const RetryBudget &budget : budgets) {
+            useOfAll += retryUse(budget, now);
+        }
+        // The traffic swings between a few and many requests.
+        const int share = tick % 170 < 60 ? 40 : 8;
+        for (int i = 0; i < instances; ++i) {
+            RetryBudget &budget = budgets[static_cast<std::size_t>(i)];
+            if ((tick + i) % 10 == 0) {
+                budget.rule = {ruleOfAll.share, ruleOfAll.allowance / instances + spareRetries(ruleOfAll, useOfAll, instances)};
+            }
+            if (chance(random) < share) {
+                recordRequest(budget, now);
+                requests.push_back(now);
+            }
+            if (tick > 100 && takeRetry(budget, now)) {
+                retries.push_back(now);
+            }
+        }
+        const auto since = [&](const std::vector<MonotonicTime> &times, Duration first, Duration last) {
+            return std::count_if(times.begin(), times.end(), [&](MonotonicTime time) { return now - time >= first && now - time < last; });
+        };
+        // The bound of the users counts the requests of this window, the one before it or the one between, whichever has most.
+        const auto window = std::chrono::seconds(10);
+        const auto half = window / 2;
+        const auto most = std::max({since(requests, Duration::zero(), window), since(requests, half, window + half), since(requests, window, window * 2)});
+        const double bound = 0.9 * static_cast<double>(most) + 2 * ruleOfAll.allowance;
+        REQUIRE(static_cast<double>(since(retries, Duration::zero(), window)) <= bound);
+    }
+    CHECK(retries.size() > 1000);
+}
+
 // Guards against a second run of a non-idempotent request (I7) and against a restart of an answer in progress (I5).
 TEST_CASE("The permitted retry depends on the progress")
 {
