Take the choice of a model out of RequestRun; keep names of the platform's wire in platform/

Ruled out: moving the logs too, which need most of its members. Change: ModelSelection; leadingPath and attemptLimit; Platform::settingsVariable. No change of behaviour is meant. Result: TestLibGateway, TestLibEntry and TestPlatform pass.

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -92,7 +92,7 @@
 } // namespace
 
 RequestRun::RequestRun(EntryContext &context, HttpExchange &exchange)
-    : context(context), state(context.state), exchange(exchange), caller(std::make_shared<CallerWatch>()), started(monotonicNow())
+    : context(context), state(context.state), exchange(exchange), caller(std::make_shared<CallerWatch>()), started(monotonicNow()), models(context.state)
 {
     this->exchange.onCallerGone([caller = this->caller] {
         caller->gone = true;
@@ -146,8 +146,9 @@
     const Duration callerTime = this->facts.deadline.value_or(defaultDeadline) - answerMargin;
     this->deadline = this->started + std::min(callerTime, this->route->timeout);
     this->service = chooseService(*this->route, sessionDraw(this->facts));
+    this->models.begin(*this->route, this->facts, this->routes->findService(this->service));
     this->progress.repeatRule = this->route->repeatRule;
-    this->progress.maxAttempts = this->route->maxAttempts;
+    this->progress.attemptLimit = this->route->attemptLimit;
     recordRequest(this->state.retryBudget(this->service), this->started);
     while (!this->caller->gone) {
         if (!this->startAttempt()) {
@@ -222,11 +223,6 @@
     this->avoidCandidate = this->avoidCandidate || answer.isFailure;
 }
 
-bool RequestRun::choosesModel() const
-{
-    return this->facts.model.empty() && !this->route->models.empty();
-}
-
 ChoiceQuery RequestRun::makeQuery() const
 {
     ChoiceQuery query;
@@ -243,87 +239,38 @@
     return query;
 }
 
-std::int64_t RequestRun::expectedOutput() const
+SelectionInputs RequestRun::selectionInputs() const
 {
-    const auto estimate = this->facts.expectedOutputTokens.value_or(this->facts.maxOutputTokens / 2);
-    return std::min(std::max<std::int64_t>(estimate, 1), std::max<std::int64_t>(this->facts.maxOutputTokens, 1));
-}
-
-LadderTimes RequestRun::ladderTimes() const
-{
-    return {this->route->latencyObjective, this->untilObjective(), this->remaining(), this->state.chooser.loads().usualWait(this->service, monotonicNow())};
-}
-
-std::vector<ModelOption> RequestRun::modelOptions() const
-{
-    const ServiceProperties *properties = this->routes->findService(this->service);
-    const auto endpoints = this->candidates();
-    ChoiceQuery query = this->makeQuery();
-    double dearest = 0;
-    std::map<std::string, double> costs;
-    if (properties && properties->engine) {
-        for (const ModelOffer &offer : properties->engine->models) {
-            costs[offer.name] = offer.costPerThousandTokens;
-            dearest = std::max(dearest, offer.costPerThousandTokens);
-        }
-    }
-    const Duration usualWait = this->state.chooser.loads().usualWait(this->service, monotonicNow());
-    std::vector<ModelOption> options;
-    const std::size_t count = this->route->models.size();
-    for (std::size_t i = 0; i < count; ++i) {
-        query.model = this->route->models[i];
-        const auto choice = this->state.chooser.choose(endpoints, query, monotonicNow(), this->state.random);
-        ModelOption option;
-        if (this->opinion && i > *this->model) {
-            option.confidenceGain = this->state.confidenceGains.gain(this->service, this->opinion->model, query.model, i - *this->model);
-        }
-        option.relativeCost = dearest > 0 ? costs[query.model] / dearest : 0;
-        option.firstOutput = choice ? choice->firstOutput : this->remaining();
-        if (choice) {
-            option.promptTime = choice->promptTime;
-            option.firstOutput = std::max(option.firstOutput, choice->promptTime + usualWait);
-        }
-        option.lastOutput = option.firstOutput + this->state.chooser.speeds().outputTime(this->service, query.model, this->expectedOutput());
-        options.push_back(option);
-    }
-    return options;
+    SelectionInputs inputs;
+    inputs.now = monotonicNow();
+    inputs.endpoints = this->candidates();
+    inputs.query = this->makeQuery();
+    inputs.times = {this->route->latencyObjective, this->untilObjective(), this->remaining(), this->state.chooser.loads().usualWait(this->service, inputs.now)};
+    return inputs;
 }
 
 bool RequestRun::escalate(const AnswerFacts &answer)
 {
-    if (!answer.confidence || !this->choosesModel()) {
-        return false;
-    }
-    const ModelOpinion newest {this->route->models[*this->model], *answer.confidence};
-    if (this->opinion && this->opinion->model != newest.model) {
-        this->state.confidenceGains.record(this->service, *this->opinion, newest);
-    }
-    this->opinion = newest;
-    if (this->answerStarted) {
+    if (!this->models.isChoosing()) {
         return false;
     }
+    this->models.recordAnswer(answer);
     // An escalation is one more run and one more arrival at the service.
-    if (this->progress.possibleRuns + 1 >= this->progress.maxAttempts || !mayRepeat(this->route->repeatRule) || !this->retryMeans().hasBudget) {
-        return false;
-    }
-    const auto larger = escalation(this->modelOptions(), *this->model, *answer.confidence, this->ladderTimes());
-    if (!larger) {
+    const bool mayRunAgain = mayRepeat(this->route->repeatRule) && this->progress.possibleRuns + 1 < this->progress.attemptLimit;
+    if (this->answerStarted || !answer.confidence || !mayRunAgain || !this->retryMeans().hasBudget) {
         return false;
     }
-    this->model = larger;
-    this->escalating = true;
-    return true;
+    this->escalating = this->models.escalate(this->selectionInputs());
+    return this->escalating;
 }
 
 bool RequestRun::startAttempt()
 {
     AttemptInProgress next;
     next.query = this->makeQuery();
-    if (this->choosesModel()) {
-        if (!this->model) {
-            this->model = firstModel(this->modelOptions(), this->ladderTimes());
-        }
-        next.query.model = this->route->models[*this->model];
+    if (this->models.isChoosing()) {
+        this->models.chooseFirst(this->selectionInputs());
+        next.query.model = this->models.model();
     }
     auto choice = this->state.chooser.choose(this->candidates(), next.query, monotonicNow(), this->state.random);
     if (!choice) {
@@ -646,8 +593,8 @@
              "answer.escalated",
              {{"request", this->facts.id},
               {"from", this->current->query.model},
-              {"to", this->route->models[*this->model]},
-              {"confidence", this->opinion->confidence},
+              {"to", this->models.model()},
+              {"confidence", this->models.opinion()->confidence},
               {"endpoint", this->current->choice.endpoint.id},
               {"shared_prompt", this->current->choice.sharedPrompt.value_or(0)},
               {"is_home", this->current->choice.isHome},
@@ -678,8 +625,8 @@
             fields["is_home"] = this->current->choice.isHome;
         }
     }
-    if (this->opinion) {
-        fields["confidence"] = this->opinion->confidence;
+    if (this->models.opinion()) {
+        fields["confidence"] = this->models.opinion()->confidence;
     }
     if (this->routes) {
         fields["configuration"] = this->routes->configuration().version;
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -2,6 +2,7 @@
 
 #include "LibEntry/EntryMetrics.h"
 #include "LibEntry/EntryState.h"
+#include "LibEntry/ModelSelection.h"
 #include "LibGateway/AttemptRules.h"
 #include "LibHttp/HttpClient.h"
 #include "LibHttp/HttpServer.h"
@@ -73,13 +74,9 @@
     boost::asio::awaitable<void> finish(NextStep step);
     bool startAttempt();
     ChoiceQuery makeQuery() const;
-    /// The route's models as options for the next attempt.
-    std::vector<ModelOption> modelOptions() const;
-    /// Whether the answer is dropped for one of a larger model; sets the model of the next attempt.
+    SelectionInputs selectionInputs() const;
+    /// Whether the answer is dropped for one of a larger model, with which the next attempt is made.
     bool escalate(const AnswerFacts &answer);
-    bool choosesModel() const;
-    std::int64_t expectedOutput() const;
-    LadderTimes ladderTimes() const;
     void endAttempt(EndpointResult result);
     std::vector<const EndpointEntry *> candidates() const;
     void recordVersion(const AttemptOutcome &outcome);
@@ -117,10 +114,7 @@
     bool avoidCandidate = false;
     std::optional<std::int64_t> lastEvent;
     std::optional<MonotonicTime> firstOutputAt;
-    /// Confidence of the newest answer, with its model.
-    std::optional<ModelOpinion> opinion;
-    /// Position among the route's models; set once chosen.
-    std::optional<std::size_t> model;
+    ModelSelection models;
     /// The current answer is dropped for one of a larger model.
     bool escalating = false;
     /// The current attempt was cancelled because it stalled.
--- a/Libraries/LibGateway/AttemptRules.cpp
+++ b/Libraries/LibGateway/AttemptRules.cpp
@@ -19,7 +19,7 @@
 
 bool mayRunAgain(const RequestProgress &progress)
 {
-    return progress.possibleRuns == 0 || (mayRepeat(progress.repeatRule) && progress.possibleRuns < progress.maxAttempts);
+    return progress.possibleRuns == 0 || (mayRepeat(progress.repeatRule) && progress.possibleRuns < progress.attemptLimit);
 }
 
 bool canRetry(const RequestProgress &progress, const RetryMeans &means)
@@ -117,7 +117,7 @@
 
 Duration attemptTimeLimit(const RequestProgress &progress, Duration remaining)
 {
-    const bool canFollow = progress.repeatRule == RepeatRule::Idempotent && progress.possibleRuns + 1 < progress.maxAttempts;
+    const bool canFollow = progress.repeatRule == RepeatRule::Idempotent && progress.possibleRuns + 1 < progress.attemptLimit;
     return canFollow ? std::chrono::duration_cast<Duration>(remaining * firstAttemptShare) : remaining;
 }
 
--- a/Libraries/LibGateway/AttemptRules.h
+++ b/Libraries/LibGateway/AttemptRules.h
@@ -30,7 +30,7 @@
 /// What is known about the attempts of one request so far.
 struct RequestProgress {
     RepeatRule repeatRule = RepeatRule::NonIdempotent;
-    int maxAttempts = 1;
+    int attemptLimit = 1;
     /// Requests that reached an endpoint, whatever it answered.
     int arrivals = 0;
     /// Attempts that may have run.
--- a/Libraries/LibGateway/RouteConfiguration.h
+++ b/Libraries/LibGateway/RouteConfiguration.h
@@ -39,7 +39,7 @@
     std::string name;
     std::string host;
     /// Begins and ends with a slash.
-    std::string pathPrefix;
+    std::string leadingPath;
     RepeatRule repeatRule = RepeatRule::NonIdempotent;
     /// Longest time until the final answer.
     Duration timeout = std::chrono::seconds(10);
@@ -53,7 +53,7 @@
     std::vector<std::string> models;
     std::vector<ServiceWeight> services;
     /// Endpoints that may run one request of a caller.
-    int maxAttempts = 1;
+    int attemptLimit = 1;
     bool isPublic = false;
 
     auto operator<=>(const Route &) const = default;
--- a/Libraries/LibGateway/RouteTable.cpp
+++ b/Libraries/LibGateway/RouteTable.cpp
@@ -12,7 +12,7 @@
     }
     for (auto &[host, candidates] : this->byHost) {
         std::stable_sort(
-            candidates.begin(), candidates.end(), [](const Route *left, const Route *right) { return left->pathPrefix.size() > right->pathPrefix.size(); });
+            candidates.begin(), candidates.end(), [](const Route *left, const Route *right) { return left->leadingPath.size() > right->leadingPath.size(); });
     }
     for (const ClientAccount &account : this->routes->accounts) {
         for (const std::string &key : account.keys) {
@@ -36,7 +36,7 @@
         return nullptr;
     }
     for (const Route *route : candidates->second) {
-        if (path.starts_with(route->pathPrefix)) {
+        if (path.starts_with(route->leadingPath)) {
             return route;
         }
     }
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -2,6 +2,7 @@
 #include "LibEntry/EntryService.h"
 #include "LibEntry/EntrySettings.h"
 #include "LibSettings/SettingsReader.h"
+#include "SettingsLocation.h"
 
 #include <tclap/CmdLine.h>
 
@@ -16,13 +17,11 @@
 /// A few lines for each request of an instance of today; its core writes them in a small part of its time.
 constexpr double logLinesPerSecond = 150;
 constexpr double logBurst = 500;
-/// Names the settings file where the command line does not.
-constexpr const char *settingsVariable = "GODWITFORK_CONFIG";
 
 int runEntry(int argc, char **argv)
 {
     using namespace Godwitfork;
-    const char *fromEnvironment = std::getenv(settingsVariable);
+    const char *fromEnvironment = std::getenv(Platform::settingsVariable);
     TCLAP::CmdLine command("godwitfork entry: the router on the users' platform", ' ', "0.1");
     TCLAP::ValueArg<std::string> settingsFile(
         "", "settings", "YAML file with the process settings", false, fromEnvironment ? fromEnvironment : "", "file", command);
@@ -30,7 +29,7 @@
     TCLAP::SwitchArg print("", "print-settings", "Print the settings in force and exit", command);
     command.parse(argc, argv);
     if (settingsFile.getValue().empty()) {
-        std::cerr << "godwitfork-entry: no settings: use --settings or set " << settingsVariable << "\n";
+        std::cerr << "godwitfork-entry: no settings: use --settings or set " << Platform::settingsVariable << "\n";
         return exitFindings;
     }
     Findings findings;
--- a/Tests/LibEntry/EntryFixture.cpp
+++ b/Tests/LibEntry/EntryFixture.cpp
@@ -95,14 +95,14 @@
     return answer;
 }
 
-Route makeRoute(RepeatRule rule, int maxAttempts)
+Route makeRoute(RepeatRule rule, int attemptLimit)
 {
     Route route;
     route.name = "r";
     route.host = "h.example";
-    route.pathPrefix = "/";
+    route.leadingPath = "/";
     route.repeatRule = rule;
-    route.maxAttempts = maxAttempts;
+    route.attemptLimit = attemptLimit;
     route.services = {{"pool", 1}};
     return route;
 }
--- a/Tests/LibEntry/EntryFixture.h
+++ b/Tests/LibEntry/EntryFixture.h
@@ -43,7 +43,7 @@
 };
 
 /// Route to the service `pool` for all paths of `h.example`.
-Route makeRoute(RepeatRule rule, int maxAttempts);
+Route makeRoute(RepeatRule rule, int attemptLimit);
 /// Headers that a sound endpoint's answer to a request has.
 HttpHeaders soundHeaders(const HttpExchange &exchange);
 HttpHeaders callerHeaders(const std::string &id);
--- a/Tests/LibGateway/TestAttemptRules.cpp
+++ b/Tests/LibGateway/TestAttemptRules.cpp
@@ -27,9 +27,9 @@
     return outcome;
 }
 
-NextStep after(RepeatRule rule, int maxAttempts, const AttemptOutcome &outcome, const RetryMeans &means)
+NextStep after(RepeatRule rule, int attemptLimit, const AttemptOutcome &outcome, const RetryMeans &means)
 {
-    const RequestProgress progress = recordAttempt({rule, maxAttempts, 0, 0}, outcome);
+    const RequestProgress progress = recordAttempt({rule, attemptLimit, 0, 0}, outcome);
     return nextStep(progress, outcome, means);
 }
 } // namespace
@@ -91,8 +91,8 @@
 {
     rc::check([] {
         const auto rule = *rc::gen::element(RepeatRule::Idempotent, RepeatRule::NonIdempotent, RepeatRule::Stream, RepeatRule::ResumableStream);
-        const int maxAttempts = *rc::gen::inRange(1, 4);
-        RequestProgress progress {rule, maxAttempts, 0, 0};
+        const int attemptLimit = *rc::gen::inRange(1, 4);
+        RequestProgress progress {rule, attemptLimit, 0, 0};
         int runs = 0;
         for (int i = 0; i < 20; ++i) {
             AttemptOutcome outcome;
@@ -106,7 +106,7 @@
             const RetryMeans means {*rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>(), std::chrono::milliseconds(*rc::gen::inRange(0, 2000))};
             const NextStep step = nextStep(progress, outcome, means);
             RC_ASSERT(step != NextStep::RefuseNotRun || runs == 0);
-            RC_ASSERT(runs <= (mayRepeat(rule) ? maxAttempts : 1));
+            RC_ASSERT(runs <= (mayRepeat(rule) ? attemptLimit : 1));
             if (step != NextStep::TryAnother) {
                 return;
             }
--- a/Tests/LibGateway/TestRouteTable.cpp
+++ b/Tests/LibGateway/TestRouteTable.cpp
@@ -11,7 +11,7 @@
     Route route;
     route.name = name;
     route.host = "h.example";
-    route.pathPrefix = prefix;
+    route.leadingPath = prefix;
     route.services = {{"pool", 90}, {"other", 10}};
     return route;
 }
