Probe a store that is away less often while other instances are heard

Ruled out: a hub that hands its own list on, which also has to tell removals; left open. Change: a summary of the last 2.5 s counts as hearing other instances, as a relay does; watches of the configuration wait 25 s instead of 15 s.

--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -30,8 +30,8 @@
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 /// A settings file may change without a signal.
 constexpr Duration settingsInterval = std::chrono::seconds(5);
-/// A version that a silent watch misses is learned from the other instances.
-constexpr Duration configurationWatchWait = std::chrono::seconds(15);
+/// Below the longest wait that the store takes, 30 s. A version that a silent watch misses is learned from the other instances.
+constexpr Duration configurationWatchWait = std::chrono::seconds(25);
 /// Short, so that the instances which follow a hub know that it still hears from the store.
 constexpr Duration hubWatchWait = std::chrono::seconds(2);
 /// Between two tries to write the state of a roll-out.
@@ -203,7 +203,7 @@
 // The fixed part of the retry allowance holds for all instances together.
 void EntryService::applyFleetSize()
 {
-    this->state.hearsPeers = this->relay->isFollowing();
+    this->state.hearsPeers = this->relay->isFollowing() || this->peers.hasFreshSummary();
     const double share = this->peers.knowsFleet() ? 1.0 / this->peers.liveInstances() : 0;
     this->state.setRetryAllowance(static_cast<double>(this->state.settings.retryAllowance) * share);
 }
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -397,6 +397,11 @@
     this->relayHandler = std::move(handler);
 }
 
+bool PeerExchange::hasFreshSummary() const
+{
+    return this->knowsFleet() && monotonicNow() - this->summaryAt < loadLifetime;
+}
+
 bool PeerExchange::knowsFleet() const
 {
     return this->fleet.members().size() > 1;
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -42,6 +42,8 @@
     void setRelayHandler(HttpHandler handler);
     /// Whether the number of instances is known.
     bool knowsFleet() const;
+    /// Whether a hub told lately which configuration and which leaving endpoints the other instances know.
+    bool hasFreshSummary() const;
     /// Instances heard of lately, this one included.
     int liveInstances() const;
 
