--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -72,7 +72,8 @@
 {
 }
 
-EndpointChoice EndpointChooser::predict(const EndpointEntry &endpoint, const ChoiceQuery &query, const std::vector<std::uint64_t> &chain, MonotonicTime now) const
+EndpointChoice
+EndpointChooser::predict(const EndpointEntry &endpoint, const ChoiceQuery &query, const std::vector<std::uint64_t> &chain, MonotonicTime now) const
 {
     const EndpointLoad &load = this->endpointLoads.find(endpoint.id);
     EndpointChoice choice;
