Let an endpoint that registered again serve again, and repeat first-hand words on leaving alone

The fault that drains, removes and registers an endpoint again under its incarnation showed the way: an instance marked the endpoint as leaving on another one's word, reported that itself, and all instances reminded each other for ever. Each such fault took one endpoint out for good; with all of them hit, every answer was 503. On the platform a registration that lapses and comes back does the same. Change: an instance reports endpoints that the store itself calls draining or removed; an endpoint that is back is no longer told as left; a word that comes within 3 s of the store's own is taken for an older one.

--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -18,6 +18,9 @@
         if (change.kind == EndpointChangeKind::Removed) {
             state.recentlyLeft.push_back({{change.endpoint.id, change.endpoint.incarnation}, monotonicNow()});
         }
+        if (change.kind == EndpointChangeKind::Added) {
+            std::erase_if(state.recentlyLeft, [&](const auto &left) { return left.first.id == change.endpoint.id; });
+        }
         if (change.kind == EndpointChangeKind::Restarted || change.kind == EndpointChangeKind::Removed) {
             state.chooser.forget(change.endpoint.id);
         }
@@ -68,7 +71,7 @@
 void applyLeaving(EntryState &state, const std::vector<LeavingEndpoint> &leaving)
 {
     for (const LeavingEndpoint &endpoint : leaving) {
-        logEndpointChanges(state, state.endpoints.markLeaving(endpoint.id, endpoint.incarnation));
+        logEndpointChanges(state, state.endpoints.markLeaving(endpoint.id, endpoint.incarnation, monotonicNow()));
     }
 }
 
@@ -99,7 +102,7 @@
         break;
     case CatalogKind::Endpoints:
         logEndpointChanges(state,
-                           change.object ? state.endpoints.put(std::get<EndpointEntry>(*change.object)) : state.endpoints.remove(change.name, trust, now));
+                           change.object ? state.endpoints.put(std::get<EndpointEntry>(*change.object), now) : state.endpoints.remove(change.name, trust, now));
         break;
     case CatalogKind::Rollouts:
         applyRollout(state, change, now);
--- a/Libraries/LibGateway/EndpointRegistry.cpp
+++ b/Libraries/LibGateway/EndpointRegistry.cpp
@@ -5,6 +5,13 @@
 namespace Godwitfork
 {
 
+namespace
+{
+/// What other instances tell is up to two reports old, so a word that comes this soon after a registration may be about the time
+/// before it. An endpoint that leaves meanwhile is seen in the store.
+constexpr Duration confirmationTime = std::chrono::seconds(3);
+} // namespace
+
 const char *endpointChangeName(EndpointChangeKind kind)
 {
     switch (kind) {
@@ -34,7 +41,7 @@
     std::set<std::string> present;
     for (const EndpointEntry &entry : entries) {
         present.insert(entry.id);
-        for (EndpointChange &change : this->put(entry)) {
+        for (EndpointChange &change : this->put(entry, now)) {
             changes.push_back(std::move(change));
         }
     }
@@ -54,15 +61,17 @@
     return changes;
 }
 
-std::vector<EndpointChange> EndpointRegistry::put(const EndpointEntry &entry)
+std::vector<EndpointChange> EndpointRegistry::put(const EndpointEntry &entry, MonotonicTime now)
 {
     const auto known = this->registrations.find(entry.id);
     if (known == this->registrations.end()) {
-        this->registrations.emplace(entry.id, Registration {entry, std::nullopt});
+        this->registrations.emplace(entry.id, Registration {entry, now, false, std::nullopt});
         return {{EndpointChangeKind::Added, entry}};
     }
     Registration &registration = known->second;
     registration.removeAt.reset();
+    registration.confirmed = now;
+    registration.isMarked = false;
     if (registration.entry == entry) {
         return {};
     }
@@ -101,12 +110,16 @@
     return changes;
 }
 
-std::vector<EndpointChange> EndpointRegistry::markLeaving(const std::string &id, std::int64_t incarnation)
+std::vector<EndpointChange> EndpointRegistry::markLeaving(const std::string &id, std::int64_t incarnation, MonotonicTime now)
 {
     const auto known = this->registrations.find(id);
     if (known == this->registrations.end() || known->second.entry.incarnation != incarnation || known->second.entry.state == EndpointState::Draining) {
         return {};
     }
+    if (now - known->second.confirmed < confirmationTime) {
+        return {};
+    }
+    known->second.isMarked = true;
     known->second.entry.state = EndpointState::Draining;
     return {{EndpointChangeKind::Draining, known->second.entry}};
 }
@@ -115,7 +128,7 @@
 {
     std::vector<const EndpointEntry *> endpoints;
     for (const auto &[id, registration] : this->registrations) {
-        if (registration.entry.state == EndpointState::Draining) {
+        if (registration.entry.state == EndpointState::Draining && !registration.isMarked) {
             endpoints.push_back(&registration.entry);
         }
     }
--- a/Libraries/LibGateway/EndpointRegistry.h
+++ b/Libraries/LibGateway/EndpointRegistry.h
@@ -57,11 +57,11 @@
     explicit EndpointRegistry(Duration returnTime);
 
     std::vector<EndpointChange> replaceAll(const std::vector<EndpointEntry> &entries, SnapshotTrust trust, MonotonicTime now);
-    std::vector<EndpointChange> put(const EndpointEntry &entry);
+    std::vector<EndpointChange> put(const EndpointEntry &entry, MonotonicTime now);
     std::vector<EndpointChange> remove(const std::string &id, SnapshotTrust trust, MonotonicTime now);
-    /// Another instance saw this incarnation leave.
-    std::vector<EndpointChange> markLeaving(const std::string &id, std::int64_t incarnation);
-    /// Endpoints that are draining.
+    /// Another instance saw this incarnation leave. Of no effect if the store confirmed it just now.
+    std::vector<EndpointChange> markLeaving(const std::string &id, std::int64_t incarnation, MonotonicTime now);
+    /// Endpoints that are draining by the store's own word.
     std::vector<const EndpointEntry *> draining() const;
     /// Removes endpoints that did not register again in time.
     std::vector<EndpointChange> expire(MonotonicTime now);
@@ -78,6 +78,10 @@
 
     struct Registration {
         EndpointEntry entry;
+        /// Last word of the store about it.
+        MonotonicTime confirmed;
+        /// Draining by the word of another instance.
+        bool isMarked = false;
         /// Set while the entry is missing from a list read after an outage.
         std::optional<MonotonicTime> removeAt;
     };
--- a/Tests/LibEntry/EntryFixture.cpp
+++ b/Tests/LibEntry/EntryFixture.cpp
@@ -65,7 +65,7 @@
     entry.failureDomain = "a";
     entry.version = "v1";
     entry.slots = 8;
-    this->state.endpoints.put(entry);
+    this->state.endpoints.put(entry, monotonicNow());
 }
 
 void EntryFixture::setRoute(Route route)
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -347,6 +347,23 @@
     return this->seen;
 }
 
+std::string SoakRun::keepLogs() const
+{
+    const std::string kept = this->folder + "-logs";
+    boost::filesystem::create_directories(kept);
+    const auto keep = [&](const std::string &name, const ChildProcess &process) {
+        std::ofstream file(kept + "/" + name + ".log");
+        for (const std::string &line : process.logLines()) {
+            file << line << "\n";
+        }
+    };
+    keep("proxy", *this->proxy);
+    for (std::size_t i = 0; i < this->entries.size(); ++i) {
+        keep("entry-" + std::to_string(i), *this->entries[i].process);
+    }
+    return kept;
+}
+
 double SoakRun::servedAfterRecovery() const
 {
     return this->lateTotal > 0 ? static_cast<double>(this->lateServed) / this->lateTotal : 0;
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -29,6 +29,8 @@
     const Promises &promises() const;
     /// Share of the requests that were served in the last seconds of the calm part.
     double servedAfterRecovery() const;
+    /// Writes what each process logged to a folder that is kept, and returns its name.
+    std::string keepLogs() const;
 
 private:
     struct Entry {
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -11,6 +11,9 @@
 
 namespace
 {
+/// Of the requests sent 12 s after the last fault.
+constexpr double minServedShare = 0.9;
+
 /// Seeds to play: those of GODWITFORK_SOAK_SEEDS (`FIRST-LAST`), or the short series of CI.
 std::pair<std::uint64_t, std::uint64_t> seeds()
 {
@@ -35,12 +38,15 @@
         SoakRun soak(seed);
         soak.run(8s, 14s);
         std::cout << "seed " << seed << ": " << soak.promises().served() << " of " << soak.promises().total() << " requests served, "
-                  << soak.servedAfterRecovery() << " after the recovery\n";
+                  << soak.servedAfterRecovery() << " after the recovery" << std::endl;
+        if (!soak.promises().broken().empty() || soak.servedAfterRecovery() <= minServedShare) {
+            std::cout << "logs of seed " << seed << ": " << soak.keepLogs() << std::endl;
+        }
         INFO("seed " << seed);
         for (const std::string &finding : soak.promises().broken()) {
             FAIL_CHECK(finding);
         }
         CHECK(soak.promises().served() > 0);
-        CHECK(soak.servedAfterRecovery() > 0.9);
+        CHECK(soak.servedAfterRecovery() > minServedShare);
     }
 }
