--- a/Tests/LibGateway/TestModelLadder.cpp
+++ b/Tests/LibGateway/TestModelLadder.cpp
@@ -117,3 +117,14 @@
     CHECK(acceptability(20) < 0.05);
     CHECK(acceptability(80) > 0.95);
 }
+
+TEST_CASE("A long answer is weighed by its chance to finish", "[ladder]")
+{
+    // Pattern: long answers whose guessed length just fills the time left; a fixed limit kept all of them on the smallest model.
+    std::vector<ModelOption> options = idleEngines();
+    options[1].lastOutput = 30s;
+    options[2].lastOutput = 11s;
+    CHECK(escalation(options, 0, 5, amplyTimed) == 2);
+    options[2].lastOutput = 16s;
+    CHECK_FALSE(escalation(options, 0, 5, amplyTimed));
+}
