Keep sessions on their version across retries, instances and restarts; judge a stall by the whole fleet

The rule asked for output to this instance within 800 ms, and with 86 instances before 60 engines an instance mostly has no other request there. By reading: an instance that has not seen a session draws anew for it, and one that starts during a roll-out takes the order for new and sends all sessions back to the old version. Change: a failed request leaves the candidate only if the trial so far makes it suspect; reports carry the open sessions that the draw would expose, in the first half of a roll-out, and hubs keep them; sessions start on the candidate 2.5 s after the order; an instance that has just started waits up to 1 s for the order's age before it is ready; reports carry when each endpoint last sent output, and a stall is judged by that. attempt.failed logs version and age of that evidence, request.ended the prompt's size.

--- a/Libraries/LibCore/Digest.cpp
+++ b/Libraries/LibCore/Digest.cpp
@@ -34,6 +34,12 @@
     return XXH3_64bits_withSeed(data.data(), data.size(), seed);
 }
 
+double hashFraction(std::uint64_t hash)
+{
+    // A double has 53 bits of precision.
+    return static_cast<double>(hash >> 11) / static_cast<double>(std::uint64_t {1} << 53);
+}
+
 std::uint64_t rendezvousScore(std::string_view key, std::string_view node)
 {
     return hash64(key, hash64(node));
--- a/Libraries/LibCore/Digest.h
+++ b/Libraries/LibCore/Digest.h
@@ -13,6 +13,9 @@
 /// Score of a node for a key in rendezvous hashing: the key is assigned to the node with the highest score.
 std::uint64_t rendezvousScore(std::string_view key, std::string_view node);
 
+/// Maps a hash to a fraction in [0, 1), for draws that are the same in all processes.
+double hashFraction(std::uint64_t hash);
+
 /// SHA-256 digest in lower-case hexadecimal.
 std::string sha256Hex(std::string_view data);
 
--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -48,7 +48,7 @@
         return;
     }
     const auto &order = std::get<RolloutOrder>(*change.object);
-    state.versions.setOrder(order, now);
+    state.versions.setOrder(order, now, state.rolloutsKnown ? OrderOrigin::Change : OrderOrigin::FirstList);
     logEvent(LogLevel::Info,
              "rollout.seen",
              {{"service", order.service}, {"target", order.target}, {"state", rolloutStateName(order.state)}, {"revision", order.revision}});
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -121,7 +121,7 @@
 Asio::awaitable<void> EntryService::serveReadiness(HttpExchange &exchange)
 {
     HttpResponse response;
-    response.status = this->state.isReady() ? 200 : 503;
+    response.status = this->state.isReady(monotonicNow()) ? 200 : 503;
     co_await exchange.respond(std::move(response));
 }
 
@@ -133,7 +133,7 @@
         gauges.configurationAgeSeconds = std::chrono::duration<double>(monotonicNow() - this->state.routesAdoptedAt).count();
     }
     gauges.endpoints = static_cast<double>(this->state.endpoints.size());
-    gauges.isReady = this->state.isReady();
+    gauges.isReady = this->state.isReady(monotonicNow());
     return gauges;
 }
 
@@ -223,8 +223,8 @@
         this->state.versions.prune(now);
         this->advanceRollouts(now);
         this->peers.tick(now);
-        if (this->state.isReady() != this->wasReady) {
-            this->wasReady = this->state.isReady();
+        if (this->state.isReady(now) != this->wasReady) {
+            this->wasReady = !this->wasReady;
             logEvent(LogLevel::Info, this->wasReady ? "ready" : "not_ready");
         }
         if (now >= nextSettings) {
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -27,9 +27,9 @@
     return this->routes && this->endpointsKnown && this->rolloutsKnown;
 }
 
-bool EntryState::isReady() const
+bool EntryState::isReady(MonotonicTime now) const
 {
-    return this->hasLoadedCatalog() && !this->stopping;
+    return this->hasLoadedCatalog() && !this->versions.isAwaitingAge(now) && !this->stopping;
 }
 
 void EntryState::setRetryAllowance(double allowance)
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -47,7 +47,8 @@
 
     /// Whether the configuration, endpoints and roll-outs have all been read from the store.
     bool hasLoadedCatalog() const;
-    bool isReady() const;
+    /// Whether new callers may be sent to this instance.
+    bool isReady(MonotonicTime now) const;
     RetryBudget &retryBudget(const std::string &service);
     /// Sets the retries that this instance allows each service in addition to the ratio of its requests.
     void setRetryAllowance(double allowance);
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -71,7 +71,7 @@
           {},
           [this](HttpExchange &exchange) { return this->serve(exchange); },
           refusal)
-    , board(membershipTimeout)
+    , board(membershipTimeout, state.settings.sessionLifetime)
     , fleet(membershipTimeout)
 {
 }
@@ -100,9 +100,7 @@
     for (const auto &[endpoint, since] : this->state.recentlyRemoved) {
         report.leaving.push_back(endpoint);
     }
-    for (const auto &[service, rollout] : this->state.versions.rollouts()) {
-        report.trials.push_back({service, rollout.order.target, rollout.order.state, now - rollout.startedAt, rollout.isBad, rollout.own});
-    }
+    report.trials = this->state.versions.reports(now);
     return report;
 }
 
@@ -146,7 +144,7 @@
 {
     if (now - this->summaryReceivedAt > maxSummaryAge) {
         this->peerUses.clear();
-        this->state.chooser.loads().setPeerUsage({}, {});
+        this->state.chooser.loads().setPeerUsage({}, {}, now);
         this->state.distributeUnusedRetries({}, this->liveInstanceCount());
     }
     if (now < this->nextReport && !this->hasUrgentChanges()) {
@@ -234,7 +232,7 @@
     this->summaryMemberCount = memberCount;
     this->summaryReceivedAt = now;
     this->peerUses = withoutOwn(summary.endpoints, own.endpoints);
-    this->state.chooser.loads().setPeerUsage(this->peerUses, withoutOwn(summary.statistics, own.statistics));
+    this->state.chooser.loads().setPeerUsage(this->peerUses, withoutOwn(summary.statistics, own.statistics), now);
     this->state.distributeUnusedRetries(summary.statistics, this->liveInstanceCount());
     for (TrialReport trial : summary.trials) {
         for (const TrialReport &sent : own.trials) {
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -56,8 +56,7 @@
 /// Maps a session, or a request without one, to a fraction in [0, 1) that is the same on all instances.
 double sessionFraction(const GatewayRequest &gatewayRequest)
 {
-    const std::string &key = gatewayRequest.session.empty() ? gatewayRequest.id : gatewayRequest.session;
-    return static_cast<double>(hash64(key) >> 11) / static_cast<double>(std::uint64_t {1} << 53);
+    return hashFraction(sessionHash(gatewayRequest.session.empty() ? gatewayRequest.id : gatewayRequest.session));
 }
 
 AttemptOutcome failedAttempt(const HttpClientError &error)
@@ -206,7 +205,7 @@
 
 std::vector<const EndpointEntry *> RequestRun::candidates() const
 {
-    const VersionQuery query {this->service, this->gatewayRequest.session, sessionFraction(this->gatewayRequest), this->avoidCandidate};
+    const VersionQuery query {this->service, this->gatewayRequest.session, sessionFraction(this->gatewayRequest), this->hasFailedOnCandidate};
     return this->state.versions.filter(query, this->state.endpoints.ready(this->service), monotonicNow());
 }
 
@@ -225,7 +224,7 @@
     const Duration expected = std::max(this->currentAttempt->choice.typicalFirstOutput, minExpectedTime);
     answer.isSlow = this->currentAttempt->firstOutput && *this->currentAttempt->firstOutput > expected * slowAnswerFactor;
     this->state.versions.recordAnswer(this->service, endpoint.version, answer);
-    this->avoidCandidate = this->avoidCandidate || answer.isFailure;
+    this->hasFailedOnCandidate = this->hasFailedOnCandidate || answer.isFailure;
 }
 
 ChoiceQuery RequestRun::makeQuery() const
@@ -374,9 +373,7 @@
     evidence.hasFirstEvent = this->currentAttempt->firstOutput.has_value();
     evidence.silence = now - this->currentAttempt->lastEventAt;
     const EndpointLoad &load = this->state.chooser.loads().find(this->currentAttempt->choice.endpoint.id);
-    if (load.lastOutput != MonotonicTime()) {
-        evidence.sinceEndpointOutput = now - load.lastOutput;
-    }
+    evidence.sinceEndpointOutput = load.sinceFleetOutput(now);
     return isStalled(evidence, {this->currentAttempt->choice.firstOutput, this->route->latencyObjective, this->route->pauseObjective});
 }
 
@@ -576,7 +573,10 @@
     if (step == NextStep::Deliver && outcome.end == AttemptEnd::Answered && isSuccess(outcome.answer)) {
         return;
     }
-    const ObservationSum failures = this->state.chooser.loads().find(this->currentAttempt->choice.endpoint.id).fleetFailures(monotonicNow());
+    const MonotonicTime now = monotonicNow();
+    const EndpointLoad &load = this->state.chooser.loads().find(this->currentAttempt->choice.endpoint.id);
+    const ObservationSum failures = load.fleetFailures(now);
+    const Duration sinceOutput = load.sinceFleetOutput(now);
     logEvent(LogLevel::Warning,
              "attempt.failed",
              {{"request", this->gatewayRequest.id},
@@ -586,8 +586,10 @@
               {"status", outcome.answer.status},
               {"not_run", outcome.answer.notRun},
               {"detail", this->reason},
-              {"elapsed_ms", toMilliseconds(monotonicNow() - this->currentAttempt->started)},
+              {"version", this->currentAttempt->choice.endpoint.version},
+              {"elapsed_ms", toMilliseconds(now - this->currentAttempt->started)},
               {"remaining_ms", toMilliseconds(this->remaining())},
+              {"endpoint_output_age_ms", sinceOutput == Duration::max() ? -1 : toMilliseconds(sinceOutput)},
               {"possible_runs", this->progress.possibleRuns},
               {"recent_failures", failures.sum},
               {"recent_answers", failures.weight},
@@ -618,6 +620,10 @@
                                      {"status", this->status},
                                      {"attempts", this->progress.arrivals},
                                      {"elapsed_ms", toMilliseconds(now - this->started)}};
+    if (this->gatewayRequest.promptTokens > 0) {
+        fields["prompt_tokens"] = this->gatewayRequest.promptTokens;
+        fields["output_limit"] = this->gatewayRequest.maxOutputTokens;
+    }
     if (this->firstOutputAt) {
         fields["first_output_ms"] = toMilliseconds(*this->firstOutputAt - this->started);
     }
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -110,8 +110,8 @@
     bool answerStarted = false;
     /// Whether the stream ended without a partial event.
     bool streamComplete = false;
-    /// Whether an attempt failed, so that further ones avoid the canary version.
-    bool avoidCandidate = false;
+    /// Whether an attempt failed, so that further ones leave a canary version that is suspected to be bad.
+    bool hasFailedOnCandidate = false;
     std::optional<std::int64_t> lastEventId;
     std::optional<MonotonicTime> firstOutputAt;
     ModelSelection modelSelection;
--- a/Libraries/LibGateway/EndpointLoads.cpp
+++ b/Libraries/LibGateway/EndpointLoads.cpp
@@ -18,6 +18,8 @@
 constexpr Duration serviceTimeConstant = std::chrono::seconds(2);
 /// Failures whose decayed sum is below this part of one observation are not reported to other instances.
 constexpr double minReportedWeight = 0.25;
+/// Outputs are reported if they are newer than this: older ones say nothing about whether the endpoint is alive when the report arrives.
+constexpr Duration maxReportedOutputAge = std::chrono::seconds(1);
 /// Upper bound of one observed slowdown, so that a single very long time does not dominate the mean.
 constexpr double maxSlowdown = 20;
 /// Weight of the prior slowdown of 1, in seconds of expected time.
@@ -33,6 +35,12 @@
 {
 }
 
+Duration EndpointLoad::sinceFleetOutput(MonotonicTime now) const
+{
+    const MonotonicTime newest = std::max(this->lastOutput, this->lastPeerOutput);
+    return newest == MonotonicTime() ? Duration::max() : now - newest;
+}
+
 ObservationSum EndpointLoad::fleetFailures(MonotonicTime now) const
 {
     ObservationSum total = this->failures.valueAt(now);
@@ -162,13 +170,17 @@
     return this->loads;
 }
 
-void EndpointLoads::setPeerUsage(const EndpointUsageMap &usage, const ServiceStatisticsMap &newStatistics)
+void EndpointLoads::setPeerUsage(const EndpointUsageMap &usage, const ServiceStatisticsMap &newStatistics, MonotonicTime now)
 {
     for (auto &[id, load] : this->loads) {
         load.peers = {};
     }
     for (const auto &[id, peerUsage] : usage) {
-        this->loads[id].peers = peerUsage;
+        EndpointLoad &load = this->loads[id];
+        load.peers = peerUsage;
+        if (peerUsage.sinceOutput) {
+            load.lastPeerOutput = std::max(load.lastPeerOutput, now - *peerUsage.sinceOutput);
+        }
     }
     this->peerStatistics = newStatistics;
 }
@@ -178,8 +190,9 @@
     EndpointUsageMap usages;
     for (const auto &[id, load] : this->loads) {
         const ObservationSum failures = load.failures.valueAt(now);
-        if (load.running > 0 || failures.sum >= minReportedWeight) {
-            usages[id] = {load.running, load.pendingPromptTime, failures};
+        const bool hasRecentOutput = load.lastOutput != MonotonicTime() && now - load.lastOutput <= maxReportedOutputAge;
+        if (load.running > 0 || failures.sum >= minReportedWeight || hasRecentOutput) {
+            usages[id] = {load.running, load.pendingPromptTime, failures, hasRecentOutput ? std::optional(now - load.lastOutput) : std::nullopt};
         }
     }
     return usages;
--- a/Libraries/LibGateway/EndpointLoads.h
+++ b/Libraries/LibGateway/EndpointLoads.h
@@ -45,7 +45,11 @@
     MonotonicTime avoidUntil;
     /// Time of the newest output to any request of this instance.
     MonotonicTime lastOutput;
+    /// Time of the newest output to any request of the other instances, as far as reported.
+    MonotonicTime lastPeerOutput;
 
+    /// Time since the newest output to any request of any instance; maximal if none is known.
+    Duration sinceFleetOutput(MonotonicTime now) const;
     /// Failure share over all instances.
     ObservationSum fleetFailures(MonotonicTime now) const;
     /// Number of requests of all instances in progress at the endpoint.
@@ -87,8 +91,9 @@
     /// exponential decay.
     Duration meanPromptWait(const std::string &service, MonotonicTime now) const;
     /// Replaces the other instances' usage by endpoint and statistics by service.
-    void setPeerUsage(const EndpointUsageMap &usage, const ServiceStatisticsMap &statistics);
-    /// Returns this instance's usage by endpoint, without endpoints that have no running request and no considerable failures.
+    void setPeerUsage(const EndpointUsageMap &usage, const ServiceStatisticsMap &statistics, MonotonicTime now);
+    /// Returns this instance's usage by endpoint, without endpoints that have no running request, no recent output
+    /// and no considerable failures.
     EndpointUsageMap ownUsage(MonotonicTime now) const;
     /// Returns this instance's statistics by service.
     ServiceStatisticsMap ownStatistics(MonotonicTime now) const;
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -53,6 +53,24 @@
     return map;
 }
 
+Json encodePins(const std::vector<SessionPin> &pins)
+{
+    Json json = Json::array();
+    for (const SessionPin &pin : pins) {
+        json.push_back(Json::array({pin.session, pin.version, toMilliseconds(pin.idle)}));
+    }
+    return json;
+}
+
+std::vector<SessionPin> decodePins(const Json &json)
+{
+    std::vector<SessionPin> pins;
+    for (const Json &pin : json) {
+        pins.push_back({pin.at(0).get<std::uint64_t>(), pin.at(1).get<std::string>(), std::chrono::milliseconds(pin.at(2).get<std::int64_t>())});
+    }
+    return pins;
+}
+
 Json encodeTrial(const TrialReport &trial)
 {
     return Json::array({trial.service,
@@ -62,7 +80,8 @@
                         trial.isBad,
                         encodeCountMap(trial.observations.candidateByRoute),
                         encodeCountMap(trial.observations.candidateByEndpoint),
-                        encodeCounts(trial.observations.stable)});
+                        encodeCounts(trial.observations.stable),
+                        encodePins(trial.sessions)});
 }
 
 TrialReport decodeTrial(const Json &json)
@@ -80,6 +99,7 @@
     trial.observations.candidateByRoute = decodeCountMap(json.at(5));
     trial.observations.candidateByEndpoint = decodeCountMap(json.at(6));
     trial.observations.stable = decodeCounts(json.at(7));
+    trial.sessions = decodePins(json.at(8));
     return trial;
 }
 
@@ -97,7 +117,10 @@
 {
     Json endpoints = Json::object();
     for (const auto &[id, usage] : usages) {
-        endpoints[id] = Json::array({usage.running, toMilliseconds(usage.pendingPromptTime), encodeObservations(usage.failures)});
+        Json &entry = endpoints[id] = Json::array({usage.running, toMilliseconds(usage.pendingPromptTime), encodeObservations(usage.failures)});
+        if (usage.sinceOutput) {
+            entry.push_back(toMilliseconds(*usage.sinceOutput));
+        }
     }
     return endpoints;
 }
@@ -106,7 +129,13 @@
 {
     EndpointUsageMap usages;
     for (const auto &[id, usage] : json.items()) {
-        usages[id] = {usage.at(0).get<int>(), std::chrono::milliseconds(usage.at(1).get<std::int64_t>()), decodeObservations(usage.at(2))};
+        EndpointUsage &decoded = usages[id];
+        decoded.running = usage.at(0).get<int>();
+        decoded.pendingPromptTime = std::chrono::milliseconds(usage.at(1).get<std::int64_t>());
+        decoded.failures = decodeObservations(usage.at(2));
+        if (usage.size() > 3) {
+            decoded.sinceOutput = std::chrono::milliseconds(usage.at(3).get<std::int64_t>());
+        }
     }
     return usages;
 }
@@ -229,6 +258,9 @@
     this->running += other.running;
     this->pendingPromptTime += other.pendingPromptTime;
     this->failures += other.failures;
+    if (other.sinceOutput) {
+        this->sinceOutput = std::min(this->sinceOutput.value_or(*other.sinceOutput), *other.sinceOutput);
+    }
     return *this;
 }
 
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,8 @@
     /// Expected time to read the prompts of the requests that have no output yet.
     Duration pendingPromptTime = Duration::zero();
     ObservationSum failures;
+    /// Time since the endpoint last sent output to any request; empty if it sent none recently.
+    std::optional<Duration> sinceOutput;
 
     EndpointUsage &operator+=(const EndpointUsage &other);
     auto operator<=>(const EndpointUsage &) const = default;
@@ -68,6 +71,17 @@
     auto operator<=>(const LeavingEndpoint &) const = default;
 };
 
+/// Version on which an open session runs.
+struct SessionPin {
+    /// Hash of the session's name; see `sessionHash`.
+    std::uint64_t session = 0;
+    std::string version;
+    /// Time since the session's last request.
+    Duration idle = Duration::zero();
+
+    auto operator<=>(const SessionPin &) const = default;
+};
+
 /// State and observations of one roll-out.
 struct TrialReport {
     std::string service;
@@ -78,6 +92,8 @@
     /// Whether the target version was found bad.
     bool isBad = false;
     TrialObservations observations;
+    /// Open sessions that a draw would assign to the target version in the first half of the roll-out.
+    std::vector<SessionPin> sessions;
 
     auto operator<=>(const TrialReport &) const = default;
 };
--- a/Libraries/LibGateway/PeerReportAggregator.cpp
+++ b/Libraries/LibGateway/PeerReportAggregator.cpp
@@ -15,12 +15,21 @@
 constexpr std::size_t hubCount = 2;
 constexpr const char *hubTask = "hub";
 
+EndpointUsage aged(EndpointUsage usage, Duration sinceReport)
+{
+    if (usage.sinceOutput) {
+        *usage.sinceOutput += sinceReport;
+    }
+    return usage;
+}
+
 void addTrial(std::vector<TrialReport> &trials, const TrialReport &added, Duration sinceReport)
 {
     const auto known =
         std::find_if(trials.begin(), trials.end(), [&](const TrialReport &trial) { return trial.service == added.service && trial.target == added.target; });
     TrialReport current = added;
     current.age += sinceReport;
+    current.sessions.clear();
     if (known == trials.end()) {
         trials.push_back(std::move(current));
         return;
@@ -58,19 +67,49 @@
 }
 } // namespace
 
-PeerReportAggregator::PeerReportAggregator(Duration lifetime) : lifetime(lifetime)
+PeerReportAggregator::PeerReportAggregator(Duration lifetime, Duration sessionLifetime) : lifetime(lifetime), sessionLifetime(sessionLifetime)
 {
 }
 
+void PeerReportAggregator::recordSessions(const TrialReport &trial, MonotonicTime now)
+{
+    std::map<std::uint64_t, OpenSession> &known = this->openSessions[{trial.service, trial.target}];
+    for (const SessionPin &pin : trial.sessions) {
+        const MonotonicTime lastUse = now - pin.idle;
+        const auto [session, isNew] = known.try_emplace(pin.session, OpenSession {pin.version, lastUse});
+        if (!isNew && session->second.lastUse < lastUse) {
+            session->second = {pin.version, lastUse};
+        }
+    }
+}
+
+void PeerReportAggregator::addSessions(TrialReport &trial, MonotonicTime now) const
+{
+    const auto known = this->openSessions.find({trial.service, trial.target});
+    if (known == this->openSessions.end()) {
+        return;
+    }
+    for (const auto &[session, open] : known->second) {
+        trial.sessions.push_back({session, open.version, now - open.lastUse});
+    }
+}
+
 void PeerReportAggregator::record(PeerReport report, MonotonicTime now)
 {
     std::string instance = report.sender.instance;
+    for (const TrialReport &trial : report.trials) {
+        this->recordSessions(trial, now);
+    }
     this->entries[std::move(instance)] = {std::move(report), now};
 }
 
 void PeerReportAggregator::expire(MonotonicTime now)
 {
     std::erase_if(this->entries, [&](const auto &entry) { return now - entry.second.received > this->lifetime; });
+    for (auto &[trial, sessions] : this->openSessions) {
+        std::erase_if(sessions, [&](const auto &session) { return now - session.second.lastUse > this->sessionLifetime; });
+    }
+    std::erase_if(this->openSessions, [](const auto &trial) { return trial.second.empty(); });
 }
 
 PeerSummary PeerReportAggregator::summary(MonotonicTime now) const
@@ -85,7 +124,7 @@
             summary.configurationHolder = report.sender.address;
         }
         for (const auto &[endpoint, usage] : report.endpoints) {
-            summary.endpoints[endpoint] += usage;
+            summary.endpoints[endpoint] += aged(usage, now - entry.received);
         }
         for (const auto &[service, serviceStatistics] : report.statistics) {
             summary.statistics[service] += serviceStatistics;
@@ -102,6 +141,7 @@
     summary.memberCount = static_cast<std::int64_t>(summary.members.size());
     for (TrialReport &trial : summary.trials) {
         dropHealthyEndpoints(trial.observations.candidateByEndpoint);
+        this->addSessions(trial, now);
     }
     summary.leaving.assign(leaving.begin(), leaving.end());
     return summary;
--- a/Libraries/LibGateway/PeerReportAggregator.h
+++ b/Libraries/LibGateway/PeerReportAggregator.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Godwitfork
@@ -13,8 +14,9 @@
 class PeerReportAggregator
 {
 public:
-    /// Creates an empty aggregator; `lifetime` is the age after which `expire` drops a report.
-    explicit PeerReportAggregator(Duration lifetime);
+    /// Creates an empty aggregator; `lifetime` is the age after which `expire` drops a report, `sessionLifetime` the idle time after which
+    /// it drops a session.
+    PeerReportAggregator(Duration lifetime, Duration sessionLifetime);
 
     /// Replaces the sender's last report.
     void record(PeerReport report, MonotonicTime now);
@@ -29,9 +31,20 @@
         MonotonicTime received;
     };
 
+    struct OpenSession {
+        std::string version;
+        MonotonicTime lastUse;
+    };
+
+    void recordSessions(const TrialReport &trial, MonotonicTime now);
+    void addSessions(TrialReport &trial, MonotonicTime now) const;
+
     Duration lifetime;
+    Duration sessionLifetime;
     /// Newest reports by instance id.
     std::map<std::string, Entry> entries;
+    /// Reported sessions by service, target version and session. They outlive the reports, since an instance that restarts reports none.
+    std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, OpenSession>> openSessions;
 };
 
 /// Returns the peer addresses of the hubs: the instances that collect reports. Instances with the same list of members choose the same
--- a/Libraries/LibGateway/StallRules.cpp
+++ b/Libraries/LibGateway/StallRules.cpp
@@ -13,8 +13,9 @@
 constexpr int firstEventExpectations = 4;
 /// Timeout between events, in multiples of the pause objective.
 constexpr int pauseObjectives = 3;
-/// Maximum age of the last output to any request for an endpoint to count as alive.
-constexpr Duration maxAliveOutputAge = std::chrono::milliseconds(800);
+/// Maximum age of the last output to any request for an endpoint to count as alive. Covers the time that reports of other instances take
+/// in a large fleet, two report intervals, in addition to the pauses between two outputs of a busy endpoint.
+constexpr Duration maxAliveOutputAge = std::chrono::milliseconds(2500);
 /// Factor on the timeout for an endpoint that is alive.
 constexpr int aliveExtension = 2;
 } // namespace
--- a/Libraries/LibGateway/StallRules.h
+++ b/Libraries/LibGateway/StallRules.h
@@ -12,7 +12,7 @@
     bool hasFirstEvent = false;
     /// Time since the last event, or since the request was sent.
     Duration silence = Duration::zero();
-    /// Time since the endpoint last sent output to any request of this instance; maximal if it never did.
+    /// Time since the endpoint last sent output to any request of any instance, as far as reported; maximal if none is known.
     Duration sinceEndpointOutput = Duration::max();
 
     auto operator<=>(const StallEvidence &) const = default;
--- a/Libraries/LibGateway/VersionPolicy.cpp
+++ b/Libraries/LibGateway/VersionPolicy.cpp
@@ -10,11 +10,25 @@
 /// Delay for each rank before an instance writes a state, so that normally only the first one writes.
 constexpr Duration writerDelay = std::chrono::milliseconds(600);
 
+/// Time for another instance's report of the age of a running roll-out to arrive. A fleet in which all processes have just started has
+/// no such report.
+constexpr Duration maxAgeWait = std::chrono::seconds(1);
+
+/// Difference up to which two ages of an order count as equal; covers the time that a report is on its way.
+constexpr Duration reportDelayTolerance = std::chrono::milliseconds(100);
+
 bool isRunning(RolloutState state)
 {
     return state == RolloutState::Ordered || state == RolloutState::InProgress;
 }
 
+TrialObservations allObservations(const FollowedRollout &rollout)
+{
+    TrialObservations total = rollout.own;
+    total += rollout.others;
+    return total;
+}
+
 std::vector<const EndpointEntry *> withVersion(const std::vector<const EndpointEntry *> &endpoints, const std::string &version, bool wanted)
 {
     std::vector<const EndpointEntry *> result;
@@ -29,7 +43,7 @@
 {
 }
 
-void VersionPolicy::setOrder(const RolloutOrder &order, MonotonicTime now)
+void VersionPolicy::setOrder(const RolloutOrder &order, MonotonicTime now, OrderOrigin origin)
 {
     const auto known = this->followed.find(order.service);
     if (known != this->followed.end() && known->second.order.target == order.target) {
@@ -39,6 +53,8 @@
     FollowedRollout rollout;
     rollout.order = order;
     rollout.startedAt = now;
+    rollout.knownSince = now;
+    rollout.isAgeKnown = origin == OrderOrigin::Change;
     this->followed[order.service] = std::move(rollout);
 }
 
@@ -52,14 +68,29 @@
     return {rollout.order.timeLimit, this->exposureShare};
 }
 
+bool VersionPolicy::isAwaitingAge(MonotonicTime now) const
+{
+    return std::any_of(this->followed.begin(), this->followed.end(), [now](const auto &entry) {
+        const FollowedRollout &rollout = entry.second;
+        return isRunning(rollout.order.state) && !rollout.isAgeKnown && now - rollout.knownSince < maxAgeWait;
+    });
+}
+
+// An instance that has just started learns the open sessions with the age of the order, from the first report that it receives.
+bool VersionPolicy::isExchangePending(const FollowedRollout &rollout, MonotonicTime now) const
+{
+    return isExchangingSessions(now - rollout.startedAt) || (!rollout.isAgeKnown && isExchangingSessions(now - rollout.knownSince));
+}
+
 bool VersionPolicy::isCandidateChosen(const FollowedRollout &rollout, const VersionQuery &query, MonotonicTime now) const
 {
     const Duration age = now - rollout.startedAt;
-    const std::optional<std::string> version = query.session.empty() ? std::nullopt : this->sessions.find(query.service, query.session, now);
+    const bool hasSession = !query.session.empty();
+    const auto version = hasSession ? this->sessions.find(query.service, sessionHash(query.session), now) : std::nullopt;
     if (version == rollout.order.target) {
         return true;
     }
-    if (version && !maySessionsMove(this->limits(rollout), age)) {
+    if (!maySessionsMove(this->limits(rollout), age) && (version || (hasSession && this->isExchangePending(rollout, now)))) {
         return false;
     }
     return query.draw < candidateShare(this->limits(rollout), age);
@@ -81,7 +112,8 @@
     if (rollout.order.state == RolloutState::Completed) {
         return candidate.empty() ? stable : candidate;
     }
-    const bool wantsCandidate = !query.avoidCandidate && this->isCandidateChosen(rollout, query, now);
+    const bool leavesCandidate = query.hasFailedOnCandidate && isCandidateSuspect(allObservations(rollout));
+    const bool wantsCandidate = !leavesCandidate && this->isCandidateChosen(rollout, query, now);
     const bool mayUseEither = maySessionsMove(this->limits(rollout), now - rollout.startedAt);
     if (wantsCandidate) {
         return candidate.empty() ? stable : candidate;
@@ -93,7 +125,7 @@
 void VersionPolicy::recordSession(const std::string &service, const std::string &session, const std::string &version, MonotonicTime now)
 {
     if (!session.empty()) {
-        this->sessions.record(service, session, version, now);
+        this->sessions.record(service, sessionHash(session), version, now);
     }
 }
 
@@ -107,6 +139,20 @@
     Godwitfork::recordAnswer(known->second.own, answer);
 }
 
+std::vector<TrialReport> VersionPolicy::reports(MonotonicTime now) const
+{
+    std::vector<TrialReport> reports;
+    for (const auto &[service, rollout] : this->followed) {
+        TrialReport report {service, rollout.order.target, rollout.order.state, now - rollout.startedAt, rollout.isBad, rollout.own, {}};
+        const TrialLimits trialLimits = this->limits(rollout);
+        if (isRunning(rollout.order.state) && !maySessionsMove(trialLimits, report.age)) {
+            report.sessions = this->sessions.pins(service, candidateShare(trialLimits, report.age), now);
+        }
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
 void VersionPolicy::mergeOthers(const TrialReport &report, MonotonicTime now)
 {
     const auto known = this->followed.find(report.service);
@@ -115,7 +161,12 @@
     }
     FollowedRollout &rollout = known->second;
     rollout.others = report.observations;
+    // A summary also holds this instance's own report, whose age is no evidence.
+    rollout.isAgeKnown = rollout.isAgeKnown || now - report.age < rollout.startedAt - reportDelayTolerance;
     rollout.startedAt = std::min(rollout.startedAt, now - report.age);
+    for (const SessionPin &pin : report.sessions) {
+        this->sessions.recordReported(report.service, pin, now);
+    }
     rollout.isBad = rollout.isBad || report.isBad;
     // An instance that cannot reach the store receives the end of a roll-out from its peers.
     if (isRunning(rollout.order.state) && !isRunning(report.state)) {
@@ -130,9 +181,7 @@
         if (rollout.isBad || !isRunning(rollout.order.state)) {
             continue;
         }
-        TrialObservations total = rollout.own;
-        total += rollout.others;
-        if (isCandidateBad(total)) {
+        if (isCandidateBad(allObservations(rollout))) {
             rollout.isBad = true;
             found.push_back(service);
         }
--- a/Libraries/LibGateway/VersionPolicy.h
+++ b/Libraries/LibGateway/VersionPolicy.h
@@ -19,6 +19,10 @@
     RolloutOrder order;
     /// Earliest time at which this instance or any reporting one received the order.
     MonotonicTime startedAt;
+    /// Time at which this instance received the order.
+    MonotonicTime knownSince;
+    /// Whether `startedAt` is the age of the order: the instance saw the order being written or has the report of another one.
+    bool isAgeKnown = true;
     /// Observations of this instance.
     TrialObservations own;
     /// Sum of the observations of the other instances.
@@ -29,13 +33,21 @@
     std::optional<MonotonicTime> writeDueSince;
 };
 
+/// How an instance learned of an order.
+enum class OrderOrigin {
+    /// A change of the store: the order is new.
+    Change,
+    /// The first list of the store after the process started: the order may be old.
+    FirstList,
+};
+
 struct VersionQuery {
     std::string service;
     std::string session;
     /// Hash of the session in [0, 1), the same on all instances; a session uses the candidate if it is below the share of the trial.
     double draw = 0;
-    /// Whether the request failed on the candidate, so that the stable version is tried.
-    bool avoidCandidate = false;
+    /// Whether the request failed on the candidate; if the candidate is suspected to be bad, the stable version is tried.
+    bool hasFailedOnCandidate = false;
 };
 
 /// Decides on which versions of a service a request may run during a roll-out.
@@ -44,7 +56,7 @@
 public:
     VersionPolicy(double exposureShare, Duration sessionLifetime);
 
-    void setOrder(const RolloutOrder &order, MonotonicTime now);
+    void setOrder(const RolloutOrder &order, MonotonicTime now, OrderOrigin origin = OrderOrigin::Change);
     void removeOrder(const std::string &service);
     /// Returns the endpoints whose version the request may run on. If the candidate is chosen but has no endpoint, the stable ones are
     /// returned. If no stable endpoint is left, the candidate ones are returned only once open sessions may move. A version that was
@@ -55,7 +67,12 @@
     /// Adds an answer to the service's trial if one is running.
     void recordAnswer(const std::string &service, const std::string &version, AnswerObservation answer);
 
-    /// Replaces the observations of the other instances and merges the age, state and result of the trial that they report.
+    /// Whether this instance has just started and waits for another one to report the age of a running roll-out. Without it, sessions that
+    /// have moved to the candidate would move back.
+    bool isAwaitingAge(MonotonicTime now) const;
+    /// Returns this instance's reports of all roll-outs.
+    std::vector<TrialReport> reports(MonotonicTime now) const;
+    /// Replaces the observations of the other instances and merges the sessions, age, state and result of the trial that they report.
     void mergeOthers(const TrialReport &report, MonotonicTime now);
     /// Evaluates all running trials and returns the services whose candidate was found bad by this call.
     std::vector<std::string> evaluate();
@@ -69,6 +86,7 @@
 
 private:
     TrialLimits limits(const FollowedRollout &rollout) const;
+    bool isExchangePending(const FollowedRollout &rollout, MonotonicTime now) const;
     bool isCandidateChosen(const FollowedRollout &rollout, const VersionQuery &query, MonotonicTime now) const;
 
     double exposureShare;
--- a/Libraries/LibRollout/VersionTrial.cpp
+++ b/Libraries/LibRollout/VersionTrial.cpp
@@ -9,6 +9,8 @@
 {
 /// Fewer failures also occur by chance with a good version.
 constexpr std::int64_t minFailures = 4;
+/// Failures from which a candidate is suspected; one failure is no evidence against the version.
+constexpr std::int64_t minSuspectFailures = 2;
 /// Share of failures, 0 to 1, from which a candidate is bad if the stable versions have no failures.
 constexpr double failureShareBound = 0.15;
 /// Weight of the stable versions' failure share in the threshold. It is above 1 because the share over the candidate's few answers has
@@ -29,6 +31,9 @@
 constexpr double earliestCompletion = 0.72;
 constexpr double forcedCompletion = 0.86;
 
+/// Time for the instances to tell each other which sessions were open when the trial was ordered: two report intervals of a large fleet.
+constexpr Duration sessionExchangeTime = std::chrono::milliseconds(2500);
+
 double elapsedFraction(const TrialLimits &limits, Duration age)
 {
     return limits.timeLimit > Duration::zero() ? static_cast<double>(age.count()) / static_cast<double>(limits.timeLimit.count()) : 1;
@@ -39,9 +44,9 @@
     return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
 }
 
-bool isFailing(const AnswerCounts &counts, const AnswerCounts &stable)
+bool isFailing(const AnswerCounts &counts, const AnswerCounts &stable, std::int64_t leastFailures = minFailures)
 {
-    return counts.failures >= minFailures
+    return counts.failures >= leastFailures
         && ratio(counts.failures, counts.answers) >= failureShareBound + stableFailureWeight * ratio(stable.failures, stable.answers);
 }
 
@@ -106,6 +111,15 @@
         || (isSlowAtSeveralEndpoints && (isSlowOnRoute || isSlow(total, observations.stable)));
 }
 
+bool isCandidateSuspect(const TrialObservations &observations)
+{
+    AnswerCounts total;
+    for (const auto &[route, counts] : observations.candidateByRoute) {
+        total += counts;
+    }
+    return isFailing(total, observations.stable, minSuspectFailures);
+}
+
 double candidateShare(const TrialLimits &limits, Duration age)
 {
     const double elapsed = elapsedFraction(limits, age);
@@ -115,6 +129,11 @@
     return elapsed >= secondStepStart ? secondStepShare : limits.exposureShare * firstHalfExposureFactor;
 }
 
+bool isExchangingSessions(Duration age)
+{
+    return age < sessionExchangeTime;
+}
+
 bool maySessionsMove(const TrialLimits &limits, Duration age)
 {
     return elapsedFraction(limits, age) >= secondStepStart;
--- a/Libraries/LibRollout/VersionTrial.h
+++ b/Libraries/LibRollout/VersionTrial.h
@@ -45,6 +45,10 @@
 /// or on one route, exceeds a threshold above the stable versions' share, and if at least two endpoints (or its only one) are affected.
 bool isCandidateBad(const TrialObservations &observations);
 
+/// Whether the candidate's answers so far suggest that it is bad, on less evidence than `isCandidateBad` requires. A request that failed on
+/// a suspected candidate is retried on the stable version.
+bool isCandidateSuspect(const TrialObservations &observations);
+
 struct TrialLimits {
     /// Time within which the trial completes or is reverted.
     Duration timeLimit = Duration::zero();
@@ -56,6 +60,10 @@
 /// that no session changes its version, and then grows in two steps.
 double candidateShare(const TrialLimits &limits, Duration age);
 
+/// Whether the instances may not have learned yet which sessions were open when the trial was ordered. Until then no session starts on the
+/// candidate, since it may be open on the stable version at another instance.
+bool isExchangingSessions(Duration age);
+
 /// Whether sessions may move from the stable versions to the candidate at the trial's age.
 bool maySessionsMove(const TrialLimits &limits, Duration age);
 
--- a/Tests/LibGateway/TestEndpointChooser.cpp
+++ b/Tests/LibGateway/TestEndpointChooser.cpp
@@ -96,9 +96,9 @@
     query.service = "pool";
     query.model = "large";
     query.promptTokens = 500;
-    chooser.loads().setPeerUsage({{"e0", {20, 5s, {}}}}, {});
+    chooser.loads().setPeerUsage({{"e0", {20, 5s, {}, {}}}}, {}, start);
     CHECK(chooser.choose(pool.pointers, query, start, random)->endpoint.id == "e1");
-    chooser.loads().setPeerUsage({{"e1", {20, 5s, {}}}}, {});
+    chooser.loads().setPeerUsage({{"e1", {20, 5s, {}, {}}}}, {}, start);
     CHECK(chooser.choose(pool.pointers, query, start, random)->endpoint.id == "e0");
 }
 
@@ -191,10 +191,10 @@
     // A burst in another failure domain that this instance has not observed itself yet.
     EndpointLoads loads;
     CHECK(loads.meanPromptWait("pool", start) == Duration::zero());
-    loads.setPeerUsage({}, {{"pool", {{40, 10}, {99, 99}, {}}}});
+    loads.setPeerUsage({}, {{"pool", {{40, 10}, {99, 99}, {}}}}, start);
     CHECK(loads.meanPromptWait("pool", start) > 900ms);
     CHECK(loads.meanSlowdown("pool", start) > 3);
-    loads.setPeerUsage({}, {});
+    loads.setPeerUsage({}, {}, start);
     CHECK(loads.meanPromptWait("pool", start) == Duration::zero());
 }
 
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -14,7 +14,8 @@
     PeerReport report;
     report.sender = {"entry-1", "10.0.0.1:7000"};
     report.configuration = 12;
-    report.endpoints["e1"] = {3, 450ms, {1.5, 4}};
+    report.endpoints["e1"] = {3, 450ms, {1.5, 4}, 120ms};
+    report.endpoints["e3"] = {1, 0ms, {}, std::nullopt};
     report.statistics["pool"] = {{12.25, 3.5}, {7, 20}, {200, 30}};
     report.placements["e1"] = {{0xfedcba9876543210, 13000}, {7, 400}};
     report.leaving = {{"e2", 1700000000000}};
@@ -26,6 +27,7 @@
     trial.observations.candidateByRoute["r"] = {5, 1, 2};
     trial.observations.candidateByEndpoint["e1"] = {5, 1, 2};
     trial.observations.stable = {50, 1, 0};
+    trial.sessions = {{0xfedcba9876543210, "v1", 2500ms}};
     report.trials = {trial};
     return report;
 }
--- a/Tests/LibGateway/TestStallRules.cpp
+++ b/Tests/LibGateway/TestStallRules.cpp
@@ -17,6 +17,14 @@
     CHECK_FALSE(isStalled({true, 4s, 100ms}, limits));
 }
 
+TEST_CASE("An engine that only other instances hear from counts as alive although their reports are late", "[stall]")
+{
+    // With more instances than engines, an instance mostly has no other request at a given engine.
+    CHECK_FALSE(isStalled({false, 5s, 1900ms}, limits));
+    CHECK_FALSE(isStalled({true, 4s, 1900ms}, limits));
+    CHECK(isStalled({false, 5s, 2600ms}, limits));
+}
+
 TEST_CASE("A stream without events stalls if its endpoint sends no output at all", "[stall]")
 {
     // Open connections stop delivering data while new ones work, or an endpoint becomes unreachable.
--- a/Tests/LibGateway/TestVersionPolicy.cpp
+++ b/Tests/LibGateway/TestVersionPolicy.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/VersionPolicy.h"
 
+#include "LibCore/Digest.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -168,3 +170,67 @@
     policy.mergeOthers(report, start);
     CHECK(usesVersion(policy.filter({"pool", "", 0.99, false}, pool.all(), start + 1s), "v2"));
 }
+
+TEST_CASE("A request that fails on a good candidate is retried on the candidate", "[versions]")
+{
+    // A retry on the stable version moves the session back although nothing is wrong with the new version.
+    const Pool pool;
+    VersionPolicy policy(exposure, 5s);
+    policy.setOrder(order(), start);
+    policy.recordSession("pool", "s", "v2", start + 3s);
+    policy.recordAnswer("pool", "v2", failure("v2-0"));
+    CHECK(usesVersion(policy.filter({"pool", "s", 0.99, true}, pool.all(), start + 4s), "v2"));
+    // Two failures in two answers: the candidate is suspected, though it cannot be found bad yet.
+    policy.recordAnswer("pool", "v2", failure("v2-0"));
+    CHECK(policy.evaluate().empty());
+    CHECK(usesVersion(policy.filter({"pool", "s", 0.99, true}, pool.all(), start + 4s), "v1"));
+}
+
+TEST_CASE("A session that changes instance in the first half of a roll-out keeps its version", "[versions]")
+{
+    // Instances are restarted one after the other, so their callers continue at other instances.
+    const Pool pool;
+    std::string session = "moving";
+    while (hashFraction(sessionHash(session)) > 0.1) {
+        session += '+';
+    }
+    const double draw = hashFraction(sessionHash(session));
+    VersionPolicy before(1, 8s);
+    VersionPolicy after(1, 8s);
+    for (VersionPolicy *policy : {&before, &after}) {
+        policy->setOrder(order(), start);
+    }
+    before.recordSession("pool", session, "v1", start - 1s);
+    CHECK(usesVersion(after.filter({"pool", session, draw, false}, pool.all(), start + 1s), "v1"));
+    for (const TrialReport &report : before.reports(start + 1s)) {
+        after.mergeOthers(report, start + 2s);
+    }
+    CHECK(usesVersion(after.filter({"pool", session, draw, false}, pool.all(), start + 4s), "v1"));
+    CHECK(usesVersion(after.filter({"pool", "unknown", draw, false}, pool.all(), start + 4s), "v2"));
+}
+
+TEST_CASE("An instance that starts during a roll-out takes no new callers until it knows the order's age", "[versions]")
+{
+    // With an assumed age of zero, it would send all sessions back to the stable version.
+    const Pool pool;
+    VersionPolicy policy(exposure, 5s);
+    policy.setOrder(order(), start, OrderOrigin::FirstList);
+    CHECK(policy.isAwaitingAge(start));
+    TrialReport own = policy.reports(start + 100ms).at(0);
+    policy.mergeOthers(own, start + 100ms);
+    CHECK(policy.isAwaitingAge(start + 100ms));
+    own.age = 15s;
+    policy.mergeOthers(own, start + 200ms);
+    CHECK_FALSE(policy.isAwaitingAge(start + 200ms));
+    CHECK(usesVersion(policy.filter({"pool", "s", 0.99, false}, pool.all(), start + 200ms), "v2"));
+}
+
+TEST_CASE("An instance waits for the age of an order only for a limited time", "[versions]")
+{
+    // After a loss of power everywhere, no instance knows the age.
+    VersionPolicy policy(exposure, 5s);
+    policy.setOrder(order(), start, OrderOrigin::FirstList);
+    CHECK_FALSE(policy.isAwaitingAge(start + 1s));
+    policy.setOrder({"pool", "v3", 20s, RolloutState::InProgress, 9}, start + 2s, OrderOrigin::Change);
+    CHECK_FALSE(policy.isAwaitingAge(start + 2s));
+}
