End the hold of a missing registration when another instance saw it end

Ruled out: a lost report (the others listed it for 15 s). Change: a registration that is missing is marked as leaving when another instance reports so. Result: the unit test fails without the change.

--- a/Libraries/LibGateway/EndpointRegistry.cpp
+++ b/Libraries/LibGateway/EndpointRegistry.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/EndpointRegistry.h"
 
+#include "LibCore/Digest.h"
+
 #include <set>
 
 namespace Godwitfork
@@ -12,6 +14,11 @@
 constexpr Duration confirmationPeriod = std::chrono::seconds(3);
 } // namespace
 
+EndpointKey endpointKey(std::string_view id)
+{
+    return static_cast<EndpointKey>(hash64(id));
+}
+
 const char *endpointChangeName(EndpointChangeKind kind)
 {
     switch (kind) {
@@ -56,7 +63,7 @@
             continue;
         }
         changes.push_back({EndpointChangeKind::Removed, registration.entry});
-        position = this->registrations.erase(position);
+        position = this->erase(position);
     }
     return changes;
 }
@@ -66,6 +73,7 @@
     const auto known = this->registrations.find(entry.id);
     if (known == this->registrations.end()) {
         this->registrations.emplace(entry.id, Registration {entry, now, false, std::nullopt});
+        this->idsByKey[endpointKey(entry.id)] = entry.id;
         return {{EndpointChangeKind::Added, entry}};
     }
     Registration &registration = known->second;
@@ -106,7 +114,7 @@
         return changes;
     }
     changes.push_back({EndpointChangeKind::Removed, known->second.entry});
-    this->registrations.erase(known);
+    this->erase(known);
     return changes;
 }
 
@@ -116,7 +124,9 @@
     if (known == this->registrations.end() || known->second.entry.incarnation != incarnation || known->second.entry.state == EndpointState::Draining) {
         return {};
     }
-    if (now - known->second.lastConfirmed < confirmationPeriod) {
+    // A registration that is missing from the store is kept only because it may have expired in an outage; another instance saw it end.
+    const bool isMissing = known->second.removeAt.has_value();
+    if (!isMissing && now - known->second.lastConfirmed < confirmationPeriod) {
         return {};
     }
     known->second.isMarkedByPeer = true;
@@ -141,7 +151,7 @@
     for (auto position = this->registrations.begin(); position != this->registrations.end();) {
         if (position->second.removeAt && *position->second.removeAt <= now) {
             changes.push_back({EndpointChangeKind::Removed, position->second.entry});
-            position = this->registrations.erase(position);
+            position = this->erase(position);
         } else {
             ++position;
         }
@@ -166,6 +176,29 @@
     return endpoints;
 }
 
+const EndpointEntry *EndpointRegistry::findByKey(EndpointKey key) const
+{
+    const auto id = this->idsByKey.find(key);
+    return id == this->idsByKey.end() ? nullptr : this->find(id->second);
+}
+
+std::vector<const EndpointEntry *> EndpointRegistry::ofService(const std::string &service) const
+{
+    std::vector<const EndpointEntry *> endpoints;
+    for (const auto &[id, registration] : this->registrations) {
+        if (registration.entry.service == service) {
+            endpoints.push_back(&registration.entry);
+        }
+    }
+    return endpoints;
+}
+
+std::map<std::string, EndpointRegistry::Registration>::iterator EndpointRegistry::erase(std::map<std::string, Registration>::iterator position)
+{
+    this->idsByKey.erase(endpointKey(position->first));
+    return this->registrations.erase(position);
+}
+
 std::size_t EndpointRegistry::size() const
 {
     return this->registrations.size();
--- a/Libraries/LibGateway/EndpointRegistry.h
+++ b/Libraries/LibGateway/EndpointRegistry.h
@@ -8,11 +8,18 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace Godwitfork
 {
 
+/// Hash of an endpoint's id. Reports between instances refer to endpoints by it, since an id takes several times as many bytes.
+using EndpointKey = std::uint32_t;
+
+EndpointKey endpointKey(std::string_view id);
+
 enum class EndpointState { Ready, Draining };
 
 /// Registration of one incarnation of an endpoint.
@@ -61,7 +68,7 @@
     std::vector<EndpointChange> put(const EndpointEntry &entry, MonotonicTime now);
     std::vector<EndpointChange> remove(const std::string &id, SnapshotTrust trust, MonotonicTime now);
     /// Marks an incarnation as draining that another instance reports as leaving. Has no effect if the store confirmed the registration
-    /// within the confirmation period.
+    /// within the confirmation period and still has it.
     std::vector<EndpointChange> markLeaving(const std::string &id, std::int64_t incarnation, MonotonicTime now);
     /// Returns the endpoints that are draining according to the store, without those marked by `markLeaving`.
     std::vector<const EndpointEntry *> draining() const;
@@ -69,6 +76,10 @@
     std::vector<EndpointChange> expire(MonotonicTime now);
 
     const EndpointEntry *find(const std::string &id) const;
+    /// Finds an endpoint by the key that reports use; null if it is unknown.
+    const EndpointEntry *findByKey(EndpointKey key) const;
+    /// Returns all endpoints of a service, draining ones included, ordered by id.
+    std::vector<const EndpointEntry *> ofService(const std::string &service) const;
     /// Returns the endpoints of a service that accept new requests, ordered by id.
     std::vector<const EndpointEntry *> ready(const std::string &service) const;
     std::size_t size() const;
@@ -76,6 +87,7 @@
 private:
     struct Registration;
 
+    std::map<std::string, Registration>::iterator erase(std::map<std::string, Registration>::iterator position);
     bool hold(Registration &registration, SnapshotTrust trust, MonotonicTime now, std::vector<EndpointChange> &changes) const;
 
     struct Registration {
@@ -90,6 +102,7 @@
 
     Duration reregistrationTime;
     std::map<std::string, Registration> registrations;
+    std::unordered_map<EndpointKey, std::string> idsByKey;
 };
 
 } // namespace Godwitfork
--- a/Tests/LibGateway/TestEndpointRegistry.cpp
+++ b/Tests/LibGateway/TestEndpointRegistry.cpp
@@ -106,3 +106,26 @@
     registry.put(endpoint("a"), start + 21s);
     CHECK(registry.ready("pool").size() == 1);
 }
+
+TEST_CASE("A registration that is missing after an outage is not kept if another instance saw it end", "[registry]")
+{
+    // The store turned only this instance away. The watch that follows replays the registration and its end, and the end was taken for one
+    // that had expired in the outage: requests reached the endpoint 4.5 s after it had left.
+    EndpointRegistry registry(2s);
+    registry.put(endpoint("a"), start);
+    REQUIRE(registry.remove("a", SnapshotTrust::AfterOutage, start).size() == 1);
+    REQUIRE(registry.ready("pool").size() == 1);
+    CHECK(registry.markLeaving("a", 1, start + 100ms).size() == 1);
+    CHECK(registry.ready("pool").empty());
+}
+
+TEST_CASE("An endpoint is found by its key until it is removed", "[registry]")
+{
+    EndpointRegistry registry(2s);
+    registry.put(endpoint("a"), start);
+    REQUIRE(registry.findByKey(endpointKey("a")));
+    CHECK(registry.findByKey(endpointKey("a"))->id == "a");
+    registry.remove("a", SnapshotTrust::Complete, start);
+    CHECK_FALSE(registry.findByKey(endpointKey("a")));
+    CHECK_FALSE(registry.findByKey(endpointKey("b")));
+}
