--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -31,6 +31,7 @@
 constexpr Duration maxProbeWait = std::chrono::seconds(3);
 /// Pages of changes kept for instances that follow this one; covers a few seconds of changes in a busy fleet.
 constexpr std::size_t maxHistoryPages = 200;
+constexpr std::size_t maxHistoryBytes = std::size_t {4} * 1024 * 1024;
 constexpr Duration minBackoff = std::chrono::milliseconds(100);
 /// Keeps the combined call rate of all instances far below the store's rate limits while the store is unavailable.
 constexpr Duration maxBackoff = std::chrono::milliseconds(800);
@@ -48,7 +49,13 @@
 } // namespace
 
 CatalogFollower::CatalogFollower(Asio::io_context &context, Platform::CatalogClient &client, EntryState &state, CatalogKind kind)
-    : context(context), client(client), state(state), kind(kind), recentPages(maxHistoryPages), watchWait(defaultWatchWait), backoff(minBackoff)
+    : context(context)
+    , client(client)
+    , state(state)
+    , kind(kind)
+    , recentPages(maxHistoryPages, maxHistoryBytes)
+    , watchWait(defaultWatchWait)
+    , backoff(minBackoff)
 {
 }
 
@@ -90,8 +97,10 @@
 Asio::awaitable<void> CatalogFollower::watchOnce()
 {
     this->canceller = std::make_shared<HttpCallCanceller>();
-    const auto page = co_await this->client.watch(this->kind, *this->revision, this->watchWait, this->canceller);
-    if (this->stopped || this->relayed) {
+    const bool isStale = monotonicNow() - this->storeAnsweredAt > this->maxAnswerAge;
+    const Duration wait = isStale ? Duration::zero() : this->watchWait;
+    const auto page = co_await this->client.watch(this->kind, *this->revision, wait, this->canceller);
+    if (this->stopped || (this->relayed && !this->readsNextFromStore)) {
         co_return;
     }
     if (!page) {
@@ -107,6 +116,9 @@
     if (page.value().revision != *this->revision) {
         this->recentPages.add({*this->revision, page.value().revision, page.value().source});
     }
+    if (!page.value().changes.empty()) {
+        this->readsNextFromStore = false;
+    }
     this->applyPage(page.value());
     // Changes come in bursts: after a pause, one call returns several of them.
     if (!page.value().changes.empty()) {
@@ -116,7 +128,7 @@
 
 bool CatalogFollower::shouldWatchStore(MonotonicTime now) const
 {
-    return !this->relayed && now - this->relayEndedAt >= relayFailoverTime;
+    return this->readsNextFromStore || (!this->relayed && now - this->relayEndedAt >= relayFailoverTime);
 }
 
 Asio::awaitable<void> CatalogFollower::pause(Duration duration)
@@ -178,6 +190,21 @@
     }
 }
 
+void CatalogFollower::skipFailover()
+{
+    this->relayEndedAt = {};
+}
+
+void CatalogFollower::readNextFromStore()
+{
+    this->readsNextFromStore = true;
+}
+
+void CatalogFollower::setMaxAnswerAge(Duration maxAge)
+{
+    this->maxAnswerAge = maxAge;
+}
+
 bool CatalogFollower::applyRelayed(const HistoryPage &page)
 {
     if (!this->revision || page.from > *this->revision) {
@@ -186,6 +213,7 @@
     if (page.to <= *this->revision) {
         return true;
     }
+    this->readsNextFromStore = false;
     const auto decoded = Platform::decodeEvents(this->kind, page.body);
     if (!decoded) {
         logEvent(LogLevel::Warning, "relay.malformed", failureFields(this->kind, decoded.error()));
--- a/Libraries/LibEntry/CatalogFollower.h
+++ b/Libraries/LibEntry/CatalogFollower.h
@@ -32,6 +32,12 @@
     const CatalogHistory &history() const;
     /// Pauses watches of the store while another instance relays its changes.
     void setRelayed(bool relayed);
+    /// Watches the store again without the time to find another hub, since there is none.
+    void skipFailover();
+    /// Reads the next changes from the store itself, since the hub does not relay them.
+    void readNextFromStore();
+    /// Makes the next answer of the store come at once if the last one is older than `maxAge`, for an instance that becomes a hub.
+    void setMaxAnswerAge(Duration maxAge);
     /// Applies a page relayed by another instance. Returns false if the page is malformed or earlier changes are missing.
     bool applyRelayed(const HistoryPage &page);
     /// Sets the longest time that the store holds one watch open.
@@ -61,6 +67,9 @@
     CatalogHistory recentPages;
     Duration watchWait;
     bool relayed = false;
+    /// Whether the next changes are read from the store although a hub relays the others.
+    bool readsNextFromStore = false;
+    Duration maxAnswerAge = Duration::max();
     /// Time at which the last relay ended.
     MonotonicTime relayEndedAt;
     std::shared_ptr<HttpCallCanceller> canceller;
--- a/Libraries/LibEntry/CatalogRelay.cpp
+++ b/Libraries/LibEntry/CatalogRelay.cpp
@@ -20,13 +20,16 @@
 constexpr const char *relayPath = "/catalog";
 /// Interval at which a hub sends new changes to its followers.
 constexpr Duration relayInterval = std::chrono::milliseconds(50);
-constexpr Duration heartbeatInterval = std::chrono::milliseconds(600);
+constexpr Duration heartbeatInterval = std::chrono::milliseconds(400);
 /// Time without data after which a follower leaves its hub.
-constexpr Duration heartbeatTimeout = std::chrono::milliseconds(1300);
+constexpr Duration heartbeatTimeout = std::chrono::milliseconds(1000);
 constexpr Duration openTimeout = std::chrono::milliseconds(500);
+/// Time that a new hub has to read the store before it refuses a follower; shorter than `openTimeout`.
+constexpr Duration hubStartTime = std::chrono::milliseconds(300);
+/// A follower reads larger pages from the store itself: sent to all followers, they would saturate the hub's network link.
+constexpr std::size_t maxRelayedPageBytes = std::size_t {256} * 1024;
 constexpr Duration retryPause = std::chrono::milliseconds(300);
-/// Largest age of the last store answer at which a hub still relays changes.
-constexpr Duration maxStoreAnswerAge = std::chrono::milliseconds(3500);
+constexpr Duration defaultMaxStoreAnswerAge = std::chrono::milliseconds(3500);
 
 Asio::awaitable<void> pause(Asio::io_context &context, Duration duration)
 {
@@ -51,21 +54,34 @@
                            HttpClient &client,
                            std::vector<CatalogFollower *> followers,
                            std::function<std::optional<HttpAddress>()> chooseHub,
+                           std::function<bool(CatalogKind)> isRelayed,
                            std::function<void(const HttpAddress &)> reportUnresponsiveHub)
     : context(context)
     , client(client)
     , followers(std::move(followers))
+    , maxStoreAnswerAge(defaultMaxStoreAnswerAge)
     , chooseHub(std::move(chooseHub))
+    , isRelayed(std::move(isRelayed))
     , reportUnresponsiveHub(std::move(reportUnresponsiveHub))
 {
 }
 
-void CatalogRelay::setRelayed(bool relayed)
+void CatalogRelay::setMaxStoreAnswerAge(Duration age)
 {
-    this->following = relayed;
-    for (CatalogFollower *follower : this->followers) {
-        follower->setRelayed(relayed);
+    this->maxStoreAnswerAge = age;
+}
+
+void CatalogRelay::endRelay()
+{
+    const bool hasOtherHub = this->chooseHub().has_value();
+    for (CatalogFollower *follower : this->relayedFollowers) {
+        follower->setRelayed(false);
+        if (!hasOtherHub) {
+            follower->skipFailover();
+        }
     }
+    this->relayedFollowers.clear();
+    this->following = false;
 }
 
 bool CatalogRelay::isFollowing() const
@@ -93,12 +109,20 @@
     options.responseTimeout = openTimeout;
     options.idleTimeout = heartbeatTimeout;
     options.tcpUserTimeout = heartbeatTimeout;
-    auto stream = co_await this->client.open(hub, makeRequest("GET", relayTarget(this->followers)), options);
+    std::vector<CatalogFollower *> relayed;
+    std::copy_if(this->followers.begin(), this->followers.end(), std::back_inserter(relayed), [this](const CatalogFollower *follower) {
+        return this->isRelayed(follower->objectKind());
+    });
+    auto stream = co_await this->client.open(hub, makeRequest("GET", relayTarget(relayed)), options);
     if (!stream || stream.value()->status() != 200) {
         this->reportUnresponsiveHub(hub);
         co_return;
     }
-    this->setRelayed(true);
+    this->following = true;
+    this->relayedFollowers = std::move(relayed);
+    for (CatalogFollower *follower : this->relayedFollowers) {
+        follower->setRelayed(true);
+    }
     ServerSentEventParser parser;
     bool isValid = true;
     // Follows this hub until it fails or no hub is to be followed. Another hub that becomes usable is no reason to switch.
@@ -117,8 +141,8 @@
             isValid = isValid && frame && this->applyFrame(*frame) == FrameResult::Accepted;
         }
     }
-    this->setRelayed(false);
     this->reportUnresponsiveHub(hub);
+    this->endRelay();
     logEvent(LogLevel::Info, "relay.lost", {{"hub", toText(hub)}});
 }
 
@@ -127,10 +151,14 @@
     if (frame.type == RelayFrame::Type::Alive) {
         return FrameResult::Accepted;
     }
-    for (CatalogFollower *follower : this->followers) {
+    for (CatalogFollower *follower : this->relayedFollowers) {
         if (follower->objectKind() != frame.kind) {
             continue;
         }
+        if (frame.type == RelayFrame::Type::Withheld) {
+            follower->readNextFromStore();
+            return FrameResult::Accepted;
+        }
         if (frame.type == RelayFrame::Type::Page && follower->applyRelayed(frame.page)) {
             return FrameResult::Accepted;
         }
@@ -140,29 +168,56 @@
 }
 
 // Only changes read from the store itself are relayed, so that no change passes through a chain of hubs.
-bool CatalogRelay::canRelay() const
+bool CatalogRelay::canRelay(const std::vector<RelayPosition> &positions) const
 {
     const MonotonicTime now = monotonicNow();
-    return !this->following && std::all_of(this->followers.begin(), this->followers.end(), [now](const CatalogFollower *follower) {
-        return follower->currentRevision() && now - follower->lastStoreAnswerTime() < maxStoreAnswerAge;
+    return !this->following && std::all_of(positions.begin(), positions.end(), [this, now](const RelayPosition &position) {
+        return position.follower->currentRevision() && now - position.follower->lastStoreAnswerTime() < this->maxStoreAnswerAge;
     });
 }
 
-Asio::awaitable<bool> CatalogRelay::sendPages(HttpExchange &exchange, std::vector<CatalogRevision> &positions)
+Asio::awaitable<bool> CatalogRelay::waitUntilRelaying(const std::vector<RelayPosition> &positions)
+{
+    const MonotonicTime limit = monotonicNow() + hubStartTime;
+    while (!this->canRelay(positions) && monotonicNow() < limit) {
+        co_await pause(this->context, relayInterval);
+    }
+    co_return this->canRelay(positions);
+}
+
+std::vector<CatalogRelay::RelayPosition> CatalogRelay::requestedPositions(const HttpRequest &request) const
+{
+    std::vector<RelayPosition> positions;
+    for (CatalogFollower *follower : this->followers) {
+        const std::string revision = queryValue(request.target, catalogKindName(follower->objectKind()));
+        if (!revision.empty()) {
+            positions.push_back({follower, std::strtoull(revision.c_str(), nullptr, 10)});
+        }
+    }
+    return positions;
+}
+
+Asio::awaitable<bool> CatalogRelay::sendPages(HttpExchange &exchange, std::vector<RelayPosition> &positions)
 {
     std::string output;
-    for (std::size_t i = 0; i < this->followers.size(); ++i) {
-        const auto pages = this->followers[i]->history().since(positions[i]);
+    for (RelayPosition &position : positions) {
+        const CatalogFollower &follower = *position.follower;
+        const auto pages = follower.history().since(position.revision);
         if (!pages) {
             // The history has no pages from this revision: either nothing changed since this hub's own list, or the follower is too far behind.
-            if (positions[i] >= this->followers[i]->lastListRevision()) {
+            if (position.revision >= follower.lastListRevision()) {
                 continue;
             }
             co_return false;
         }
         for (const HistoryPage &page : *pages) {
-            output += formatServerSentEvent(encodeRelayFrame({RelayFrame::Type::Page, this->followers[i]->objectKind(), page}));
-            positions[i] = page.to;
+            const bool isTooLarge = page.body.size() > maxRelayedPageBytes;
+            RelayFrame frame {isTooLarge ? RelayFrame::Type::Withheld : RelayFrame::Type::Page, follower.objectKind(), {}};
+            if (!isTooLarge) {
+                frame.page = page;
+            }
+            output += formatServerSentEvent(encodeRelayFrame(frame));
+            position.revision = page.to;
         }
     }
     if (output.empty()) {
@@ -173,22 +228,20 @@
 
 Asio::awaitable<void> CatalogRelay::serve(HttpExchange &exchange)
 {
-    if (!this->canRelay()) {
+    std::vector<RelayPosition> positions = this->requestedPositions(exchange.request());
+    const bool isRelaying = co_await this->waitUntilRelaying(positions);
+    if (!isRelaying) {
         HttpResponse response;
         response.status = 503;
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    std::vector<CatalogRevision> positions;
-    for (const CatalogFollower *follower : this->followers) {
-        positions.push_back(std::strtoull(queryValue(exchange.request().target, catalogKindName(follower->objectKind())).c_str(), nullptr, 10));
-    }
     HttpHeaders headers;
     headers.push_back({"Content-Type", "text/event-stream"});
     bool isOpen = co_await exchange.startStream(200, std::move(headers));
     const std::string heartbeat = formatServerSentEvent(encodeRelayFrame(RelayFrame()));
     MonotonicTime nextHeartbeat = monotonicNow();
-    while (isOpen && this->canRelay()) {
+    while (isOpen && this->canRelay(positions)) {
         isOpen = co_await this->sendPages(exchange, positions);
         const MonotonicTime now = monotonicNow();
         if (isOpen && now >= nextHeartbeat) {
--- a/Libraries/LibEntry/CatalogRelay.h
+++ b/Libraries/LibEntry/CatalogRelay.h
@@ -16,16 +16,18 @@
 namespace Godwitfork
 {
 
-/// Relays store changes through two hubs to the other instances of a fleet, since store calls are rate limited and priced. A hub
-/// sends what its own watches return. An instance that loses its hub looks for another one and then watches the store itself.
+/// Relays store changes through hubs to the other instances of a fleet, since store calls are rate limited and priced. A hub sends what its
+/// own watches return. An instance that loses its hub looks for another one and then watches the store itself.
 class CatalogRelay
 {
 public:
-    /// `chooseHub` returns the hub to follow, or nothing if the store is to be watched directly.
+    /// `followers` are the kinds of object that may be relayed. `chooseHub` returns the hub to follow, or nothing if the store is to be watched
+    /// directly; `isRelayed` tells whether a kind is relayed in a fleet of the present size.
     CatalogRelay(boost::asio::io_context &context,
                  HttpClient &client,
                  std::vector<CatalogFollower *> followers,
                  std::function<std::optional<HttpAddress>()> chooseHub,
+                 std::function<bool(CatalogKind)> isRelayed,
                  std::function<void(const HttpAddress &)> reportUnresponsiveHub);
 
     /// Follows hubs until the process ends.
@@ -33,20 +35,35 @@
     bool isFollowing() const;
     /// Streams store changes to an instance that follows this one.
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    /// Sets the age of the last store answer up to which this instance relays changes as a hub.
+    void setMaxStoreAnswerAge(Duration age);
 
 private:
+    /// Position of one kind in the stream to a follower.
+    struct RelayPosition {
+        CatalogFollower *follower = nullptr;
+        CatalogRevision revision = 0;
+    };
+
     enum class FrameResult { Accepted, Refused };
 
     boost::asio::awaitable<void> follow(HttpAddress hub);
-    boost::asio::awaitable<bool> sendPages(HttpExchange &exchange, std::vector<CatalogRevision> &positions);
+    boost::asio::awaitable<bool> sendPages(HttpExchange &exchange, std::vector<RelayPosition> &positions);
+    /// Waits a short time until this instance can relay; one that has just become a hub reads the store first.
+    boost::asio::awaitable<bool> waitUntilRelaying(const std::vector<RelayPosition> &positions);
+    std::vector<RelayPosition> requestedPositions(const HttpRequest &request) const;
     FrameResult applyFrame(const RelayFrame &frame);
-    bool canRelay() const;
-    void setRelayed(bool relayed);
+    bool canRelay(const std::vector<RelayPosition> &positions) const;
+    void endRelay();
 
     boost::asio::io_context &context;
     HttpClient &client;
     std::vector<CatalogFollower *> followers;
+    /// Followers whose kinds the present hub relays; empty while none is followed.
+    std::vector<CatalogFollower *> relayedFollowers;
+    Duration maxStoreAnswerAge;
     std::function<std::optional<HttpAddress>()> chooseHub;
+    std::function<bool(CatalogKind)> isRelayed;
     std::function<void(const HttpAddress &)> reportUnresponsiveHub;
     bool following = false;
 };
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -30,10 +30,14 @@
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 /// Interval of checks for a settings file that changed without a signal.
 constexpr Duration settingsCheckInterval = std::chrono::seconds(5);
-/// Below the longest wait that the store accepts, 30 s. If a dead connection hides a new version, other instances report it.
-constexpr Duration configurationWatchWait = std::chrono::seconds(25);
-/// Short enough for a hub to confirm its store connection within the age limit for relayed data.
-constexpr Duration hubWatchWait = std::chrono::seconds(2);
+/// Wait of a configuration watch in a fleet too small for relays. Shorter than the store's history, so that a watch does not lose it.
+constexpr Duration configurationWatchWait = std::chrono::seconds(15);
+/// A hub that has lost the store stops relaying after a watch that it did not answer and a margin. Their sum and the time to find another hub
+/// fit into the limit for leaving endpoints and new configurations.
+constexpr int hubWatchesPerLimit = 3;
+constexpr int hubMarginsPerLimit = 4;
+constexpr Duration minHubWatchWait = std::chrono::milliseconds(500);
+constexpr Duration maxHubWatchWait = std::chrono::seconds(2);
 /// Pause after a failed write of a roll-out's state.
 constexpr Duration rolloutWritePause = std::chrono::milliseconds(400);
 
@@ -82,14 +86,18 @@
     for (const CatalogKind kind : {CatalogKind::Configuration, CatalogKind::Endpoints, CatalogKind::Rollouts}) {
         this->followers.push_back(std::make_unique<CatalogFollower>(this->context, this->catalog, this->state, kind));
     }
-    // Every instance watches the configuration itself, since relaying a large one would saturate a hub's network link.
-    this->followers[0]->setWatchWait(configurationWatchWait);
-    std::vector<CatalogFollower *> relayed = {this->followers[1].get(), this->followers[2].get()};
-    for (CatalogFollower *follower : relayed) {
-        follower->setWatchWait(hubWatchWait);
+    std::vector<CatalogFollower *> relayed;
+    for (const auto &follower : this->followers) {
+        relayed.push_back(follower.get());
     }
     this->relay = std::make_unique<CatalogRelay>(
-        this->context, this->client, relayed, [this] { return this->peers.relayHub(); }, [this](const HttpAddress &hub) { this->peers.excludeHub(hub); });
+        this->context,
+        this->client,
+        relayed,
+        [this] { return this->peers.relayHub(); },
+        [this](CatalogKind kind) { return kind != CatalogKind::Configuration || this->peers.relaysConfiguration(); },
+        [this](const HttpAddress &hub) { this->peers.excludeHub(hub); });
+    this->applyWatchLimits();
     this->peers.setRelayHandler([this](HttpExchange &exchange) { return this->relay->serve(exchange); });
 }
 
@@ -160,6 +168,19 @@
     this->callers.setLimits(serverLimits);
 }
 
+void EntryService::applyWatchLimits()
+{
+    const Duration limit = std::min(this->state.settings.drainLimit, this->state.settings.configurationLimit);
+    const Duration wait = std::clamp(limit / hubWatchesPerLimit, minHubWatchWait, maxHubWatchWait);
+    const Duration maxAnswerAge = wait + limit / hubMarginsPerLimit;
+    for (const auto &follower : this->followers) {
+        const bool isRelayed = follower->objectKind() != CatalogKind::Configuration || this->peers.relaysConfiguration();
+        follower->setWatchWait(isRelayed ? wait : configurationWatchWait);
+        follower->setMaxAnswerAge(isRelayed ? maxAnswerAge : Duration::max());
+    }
+    this->relay->setMaxStoreAnswerAge(maxAnswerAge);
+}
+
 void EntryService::advanceRollouts(MonotonicTime now)
 {
     for (const std::string &service : this->state.versions.evaluate()) {
@@ -204,6 +225,7 @@
 void EntryService::applyPeerState()
 {
     this->state.hasPeerUpdates = this->relay->isFollowing() || this->peers.hasFreshSummary();
+    this->applyWatchLimits();
     const double share = this->peers.hasOtherMembers() ? 1.0 / this->peers.liveInstanceCount() : 0;
     this->state.setRetryAllowance(static_cast<double>(this->state.settings.retryAllowance) * share);
 }
--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -69,6 +69,8 @@
     settings.retryWindow = readSeconds(reader, "retry_window_s", 10, 1, 600);
     settings.exposureShare = readFraction(reader, "exposure_share", settings.exposureShare, 0, 1);
     settings.rollbackLimit = reader.milliseconds("rollback_limit_ms", 5000, 100, 600'000);
+    settings.drainLimit = reader.milliseconds("drain_limit_ms", 5000, 500, 600'000);
+    settings.configurationLimit = reader.milliseconds("configuration_limit_ms", 5000, 500, 600'000);
     settings.sessionLifetime = readSeconds(reader, "session_lifetime_s", 5, 0, 86'400);
     findings.append(reader.finish());
     return settings;
@@ -77,6 +79,7 @@
 std::string printEntrySettings(const EntrySettings &settings)
 {
     const auto seconds = [](Duration time) { return std::chrono::duration<double>(time).count(); };
+    const auto milliseconds = [](Duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time).count(); };
     std::ostringstream out;
     out << "instance: " << settings.instance << "\n"
         << "failure_domain: " << settings.failureDomain << "\n"
@@ -96,7 +99,9 @@
         << "retry_allowance: " << settings.retryAllowance << "\n"
         << "retry_window_s: " << seconds(settings.retryWindow) << "\n"
         << "exposure_share: " << settings.exposureShare << "\n"
-        << "rollback_limit_ms: " << std::chrono::duration_cast<std::chrono::milliseconds>(settings.rollbackLimit).count() << "\n"
+        << "rollback_limit_ms: " << milliseconds(settings.rollbackLimit) << "\n"
+        << "drain_limit_ms: " << milliseconds(settings.drainLimit) << "\n"
+        << "configuration_limit_ms: " << milliseconds(settings.configurationLimit) << "\n"
         << "session_lifetime_s: " << seconds(settings.sessionLifetime) << "\n";
     return out.str();
 }
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -38,6 +38,10 @@
     double exposureShare = 0.1;
     /// Time within which a rejected canary version must stop receiving requests.
     Duration rollbackLimit = std::chrono::seconds(5);
+    /// Time within which a leaving endpoint must get no new requests.
+    Duration drainLimit = std::chrono::seconds(5);
+    /// Time within which a new configuration must be in force.
+    Duration configurationLimit = std::chrono::seconds(5);
     /// Idle time after which a session may move to another version.
     Duration sessionLifetime = std::chrono::seconds(5);
 
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -23,26 +23,39 @@
 {
 /// Base interval between reports of an instance; half the latency objective of the shortest requests.
 constexpr Duration reportInterval = std::chrono::milliseconds(300);
-/// Added to the report interval per member, so that a hub of a large fleet spends only a small part of its core on reports.
-constexpr Duration reportIntervalPerMember = std::chrono::milliseconds(3);
+/// Added to the report interval per member of the failure domain, so that its hub spends only a small part of its core on reports.
+constexpr Duration reportIntervalPerMember = std::chrono::milliseconds(4);
+/// Bytes of summaries that an instance accepts for each second; larger summaries are requested less often.
+constexpr std::int64_t summaryBytesPerSecond = 16 * 1024;
+/// Longest interval between reports, which keeps a summary younger than `maxSummaryAge` if one report is lost.
+constexpr Duration maxReportInterval = std::chrono::milliseconds(1200);
+/// Interval of the exchange between the hubs of different failure domains.
+constexpr Duration domainExchangeInterval = std::chrono::milliseconds(500);
 /// Membership timeout: time without a report after which an instance is no longer a member.
 constexpr Duration membershipTimeout = std::chrono::seconds(5);
 /// Time for which a hub that did not answer is excluded.
 constexpr Duration hubExclusionTime = std::chrono::seconds(3);
 /// Interval between reports to a seed once other members are known.
 constexpr Duration seedReportInterval = std::chrono::seconds(2);
+/// Interval in the first seconds of the process, while the fleet may be starting and members are learned from the seeds.
+constexpr Duration initialSeedReportInterval = std::chrono::milliseconds(700);
+constexpr Duration initialPeriod = std::chrono::seconds(5);
 constexpr Duration peerTimeout = std::chrono::milliseconds(400);
-/// Time for the watch of the store to return a new configuration before it is fetched from a peer.
-constexpr Duration watchGracePeriod = std::chrono::milliseconds(300);
+/// Time for the watch of the store or the relay to return a new configuration before it is fetched from a peer.
+constexpr Duration watchGracePeriod = std::chrono::milliseconds(500);
 /// Time for which an encoded summary is reused for all reporting instances.
 constexpr Duration summaryCacheTime = std::chrono::milliseconds(150);
 /// Age at which a summary is stale and its load is no longer counted.
 constexpr Duration maxSummaryAge = std::chrono::milliseconds(2500);
 
 constexpr const char *reportPath = "/report";
+constexpr const char *domainPath = "/domain";
 constexpr const char *relayPath = "/catalog";
 /// Smallest fleet that uses relays. In smaller ones every instance watches the store itself, which relieves the hubs.
 constexpr std::size_t minRelayedMembers = 4;
+/// Smallest fleet whose hubs relay the configuration. In smaller ones a watch by every instance costs little and spares the time to find
+/// another hub when one fails.
+constexpr std::size_t minConfigurationRelayMembers = 24;
 constexpr const char *configurationPath = "/configuration";
 
 HttpResponse refusal(int status, const std::string &code, const std::string &message)
@@ -72,7 +85,9 @@
           [this](HttpExchange &exchange) { return this->serve(exchange); },
           refusal)
     , board(membershipTimeout, state.settings.sessionLifetime)
-    , fleet(membershipTimeout)
+    , otherDomains(maxSummaryAge)
+    , directory(toText(state.settings.peers), state.settings.failureDomain, membershipTimeout)
+    , startedAt(monotonicNow())
 {
 }
 
@@ -89,7 +104,8 @@
 PeerReport PeerExchange::makeReport(MonotonicTime now) const
 {
     PeerReport report;
-    report.sender = {this->state.settings.instance, this->ownAddress(), static_cast<int>(this->state.settings.coreShare * 1000)};
+    const EntrySettings &settings = this->state.settings;
+    report.sender = {settings.instance, this->ownAddress(), static_cast<int>(settings.coreShare * 1000), settings.failureDomain};
     report.configuration = this->state.routes ? this->state.routes->configuration().version : 0;
     report.endpoints = this->state.chooser.loads().ownUsage(now);
     report.statistics = this->state.chooser.loads().ownStatistics(now);
@@ -115,45 +131,50 @@
 }
 
 // Periodic reports to a random seed merge partitions of the fleet that have not discovered each other.
-std::vector<HttpAddress> PeerExchange::reportTargets(MonotonicTime now)
+std::vector<HttpAddress> PeerExchange::seedTargets(MonotonicTime now)
 {
-    std::vector<HttpAddress> addresses;
     const std::vector<HttpAddress> &seeds = this->state.settings.seeds;
-    if (this->fleet.members().size() < 2) {
-        addresses = seeds;
-    } else if (now >= this->nextSeedReport && !seeds.empty()) {
-        this->nextSeedReport = now + seedReportInterval;
-        addresses.push_back(seeds[this->state.random() % seeds.size()]);
-    }
-    std::vector<std::string> excluded;
-    for (const auto &[address, link] : this->links) {
-        if (link.excludedUntil > now) {
-            excluded.push_back(toText(address));
-        }
+    if (!this->hasOtherMembers()) {
+        return seeds;
     }
-    for (const std::string &hub : chooseHubs(this->fleet.members(), excluded)) {
-        const HttpAddress address = parseHttpAddress(hub);
-        if (std::find(addresses.begin(), addresses.end(), address) == addresses.end()) {
-            addresses.push_back(address);
-        }
+    if (now < this->nextSeedReport || seeds.empty()) {
+        return {};
     }
-    return addresses;
+    this->nextSeedReport = now + (now - this->startedAt < initialPeriod ? initialSeedReportInterval : seedReportInterval);
+    return {seeds[this->state.random() % seeds.size()]};
+}
+
+Duration PeerExchange::reportDelay() const
+{
+    const Duration bySize = reportInterval + reportIntervalPerMember * static_cast<int>(this->directory.ownDomainSize());
+    const Duration byBytes = std::chrono::microseconds(static_cast<std::int64_t>(this->summarySize) * 1'000'000 / summaryBytesPerSecond);
+    return std::min(std::max(bySize, byBytes), maxReportInterval);
+}
+
+PeerSummary PeerExchange::totalSummary(MonotonicTime now) const
+{
+    PeerSummary own = this->board.summary(now);
+    own.failureDomain = this->state.settings.failureDomain;
+    PeerSummary total = this->otherDomains.total(std::move(own), now);
+    total.members = this->directory.fleet().sightings(now);
+    total.oldestSighting = this->directory.fleet().oldestSighting(now);
+    return total;
 }
 
 void PeerExchange::tick(MonotonicTime now)
 {
     if (now - this->summaryReceivedAt > maxSummaryAge) {
-        this->peerUses.clear();
         this->state.chooser.loads().setPeerUsage({}, {}, now);
         this->state.distributeUnusedRetries({}, this->liveInstanceCount());
     }
+    this->exchangeDomains(now);
     if (now < this->nextReport && !this->hasUrgentChanges()) {
         return;
     }
-    this->nextReport = now + reportInterval + reportIntervalPerMember * static_cast<int>(this->fleet.members().size());
+    this->nextReport = now + this->reportDelay();
     PeerReport report = this->makeReport(now);
     report.placements = this->state.chooser.takePlacements();
-    report.fleetHash = fleetHash(this->fleet.members());
+    report.fleetHash = fleetHash(this->directory.fleet().members());
     this->reportedConfiguration = report.configuration;
     for (const TrialReport &trial : report.trials) {
         if (trial.isBad) {
@@ -162,48 +183,95 @@
     }
     this->board.expire(now);
     this->board.record(report, now);
-    this->fleet.refresh({report.sender}, now);
-    this->fleet.expire(now);
-    const std::vector<HttpAddress> reportTargets = this->reportTargets(now);
-    if (reportTargets.empty()) {
-        return;
+    this->otherDomains.expire(now);
+    this->directory.fleet().record(report.sender, now);
+    this->directory.expire(now);
+    std::vector<HttpAddress> targets = this->seedTargets(now);
+    const std::vector<std::string> hubs = this->directory.ownHubs(now);
+    for (const std::string &hub : hubs) {
+        const HttpAddress address = parseHttpAddress(hub);
+        if (std::find(targets.begin(), targets.end(), address) == targets.end()) {
+            targets.push_back(address);
+        }
     }
-    const HttpAddress summaryHub = this->assignedHub(reportTargets);
-    for (const HttpAddress &hub : reportTargets) {
-        if (hub == this->state.settings.peers) {
-            this->applySummary(this->board.summary(now), report, now);
+    for (const HttpAddress &target : targets) {
+        const bool isPrimary = !hubs.empty() && toText(target) == hubs.front();
+        if (target == this->state.settings.peers) {
+            if (isPrimary) {
+                this->applySummary(this->totalSummary(now), report, now);
+            }
             continue;
         }
-        PeerLink &link = this->links[hub];
+        PeerLink &link = this->links[target];
         if (link.busy) {
             continue;
         }
         link.busy = true;
-        report.wantsSummary = hub == summaryHub || this->fleet.members().size() < minRelayedMembers;
+        report.wantsSummary = isPrimary || this->directory.fleet().members().size() < minRelayedMembers;
         link.sent = report;
-        std::string body = encodePeerReport(report);
         Asio::co_spawn(
-            this->context, [this, hub, body = std::move(body)]() -> Asio::awaitable<void> { co_await this->sendReport(hub, body); }, Asio::detached);
+            this->context,
+            [this, target, body = encodePeerReport(report)]() -> Asio::awaitable<void> { co_await this->sendReport(target, body); },
+            Asio::detached);
+    }
+}
+
+void PeerExchange::exchangeDomains(MonotonicTime now)
+{
+    if (!this->directory.isPrimary(now)) {
+        return;
+    }
+    PeerSummary summary = this->board.summary(now);
+    const auto badTrials = std::count_if(summary.trials.begin(), summary.trials.end(), [](const TrialReport &trial) { return trial.isBad; });
+    const bool isUrgent = summary.configuration > this->exchangedConfiguration || badTrials > this->exchangedBadTrials;
+    if (now < this->nextDomainExchange && !isUrgent) {
+        return;
+    }
+    this->nextDomainExchange = now + domainExchangeInterval;
+    this->exchangedConfiguration = summary.configuration;
+    this->exchangedBadTrials = badTrials;
+    summary.failureDomain = this->state.settings.failureDomain;
+    const std::string body = encodePeerSummary(summary);
+    for (const std::string &hub : this->directory.remotePrimaries(now)) {
+        const HttpAddress address = parseHttpAddress(hub);
+        Asio::co_spawn(
+            this->context, [this, address, body]() -> Asio::awaitable<void> { co_await this->sendDomainSummary(address, body); }, Asio::detached);
     }
 }
 
+void PeerExchange::recordPeerAnswer(const HttpAddress &address, bool isAnswered, const std::string &message, MonotonicTime now)
+{
+    const std::string peer = toText(address);
+    if (isAnswered) {
+        this->directory.include(peer);
+        return;
+    }
+    if (!this->directory.isExcluded(peer, now)) {
+        logEvent(LogLevel::Info, "peer.silent", {{"peer", peer}, {"message", message}});
+    }
+    this->directory.exclude(peer, now + hubExclusionTime);
+}
+
+Asio::awaitable<void> PeerExchange::sendDomainSummary(HttpAddress address, std::string body)
+{
+    const auto response = co_await this->client.call(address, makeRequest("POST", domainPath, std::move(body)), peerOptions());
+    const bool isAnswered = response && response.value().status == 200;
+    this->recordPeerAnswer(address, isAnswered, response ? "refused" : response.error().message, monotonicNow());
+}
+
 Asio::awaitable<void> PeerExchange::sendReport(HttpAddress address, std::string body)
 {
     const auto response = co_await this->client.call(address, makeRequest("POST", reportPath, std::move(body)), peerOptions());
     const MonotonicTime now = monotonicNow();
     PeerLink &link = this->links[address];
     link.busy = false;
-    if (!response || response.value().status != 200) {
-        if (link.excludedUntil <= now) {
-            logEvent(LogLevel::Info, "peer.silent", {{"peer", toText(address)}, {"message", response ? "refused" : response.error().message}});
-        }
-        link.excludedUntil = now + hubExclusionTime;
-        co_return;
-    }
-    link.excludedUntil = {};
-    if (!link.sent.wantsSummary) {
+    const bool isAnswered = response && response.value().status == 200;
+    this->recordPeerAnswer(address, isAnswered, response ? "refused" : response.error().message, now);
+    // A hub that has nothing to tell answers without a summary.
+    if (!isAnswered || response.value().body.empty()) {
         co_return;
     }
+    this->summarySize = response.value().body.size();
     const auto summary = decodePeerSummary(response.value().body);
     if (!summary) {
         logEvent(LogLevel::Warning, "peer.malformed", {{"peer", toText(address)}, {"message", summary.error().message}});
@@ -217,22 +285,25 @@
     applyLeavingEndpoints(this->state, summary.leaving);
     this->applyPlacements(summary.placements);
     this->fetchNewerConfiguration(summary.configurationHolder, summary.configuration);
-    const std::size_t previous = this->fleet.members().size();
+    const std::size_t previous = this->directory.fleet().members().size();
     // The summary omits the list if both sides have the same members.
-    this->fleet.refresh(summary.members.empty() ? this->fleet.members() : summary.members, now);
-    if (this->fleet.members().size() != previous) {
-        logEvent(LogLevel::Info, "peer.members", {{"members", this->fleet.members().size()}, {"previous", previous}});
+    if (summary.members.empty()) {
+        this->directory.fleet().confirmAll(summary.oldestSighting, now);
+    } else {
+        this->directory.fleet().merge(summary.members, now);
+    }
+    if (this->directory.fleet().members().size() != previous) {
+        logEvent(LogLevel::Info, "peer.members", {{"members", this->directory.fleet().members().size()}, {"previous", previous}});
     }
     // A hub that receives fewer reports has less complete totals: keep a fresh summary that covers more members.
-    const bool isFresh = now - this->summaryReceivedAt < reportInterval * 2;
+    const bool isFresh = now - this->summaryReceivedAt < this->reportDelay() * 2;
     const auto memberCount = static_cast<std::size_t>(std::max<std::int64_t>(0, summary.memberCount));
     if (isFresh && memberCount < this->summaryMemberCount) {
         return;
     }
     this->summaryMemberCount = memberCount;
     this->summaryReceivedAt = now;
-    this->peerUses = withoutOwn(summary.endpoints, own.endpoints);
-    this->state.chooser.loads().setPeerUsage(this->peerUses, withoutOwn(summary.statistics, own.statistics), now);
+    this->state.chooser.loads().setPeerUsage(withoutOwn(summary.endpoints, own.endpoints), withoutOwn(summary.statistics, own.statistics), now);
     this->state.distributeUnusedRetries(summary.statistics, this->liveInstanceCount());
     for (TrialReport trial : summary.trials) {
         for (const TrialReport &sent : own.trials) {
@@ -246,11 +317,11 @@
 
 void PeerExchange::applyPlacements(const CachePlacements &placements)
 {
-    for (const auto &[id, parts] : placements) {
-        const EndpointEntry *endpoint = this->state.endpoints.find(id);
+    for (const auto &[key, parts] : placements) {
+        const EndpointEntry *endpoint = this->state.endpoints.findByKey(key);
         const ServiceProperties *service = endpoint && this->state.routes ? this->state.routes->findService(endpoint->service) : nullptr;
         if (service && service->engine) {
-            this->state.chooser.recordPlacement(id, parts, service->engine->memoryTokens);
+            this->state.chooser.recordPlacement(endpoint->id, parts, service->engine->memoryTokens);
         }
     }
 }
@@ -296,8 +367,8 @@
 const std::string &PeerExchange::encodedSummary(const PeerReport &report, MonotonicTime now)
 {
     if (this->summaryBytes.empty() || now - this->summaryEncodedAt > summaryCacheTime) {
-        PeerSummary summary = this->board.summary(now);
-        this->summaryMembersHash = fleetHash(summary.members);
+        PeerSummary summary = this->totalSummary(now);
+        this->summaryMembersHash = fleetHash(this->directory.fleet().members());
         this->summaryBytesWithMembers = encodePeerSummary(summary);
         summary.members.clear();
         this->summaryBytes = encodePeerSummary(summary);
@@ -306,6 +377,55 @@
     return report.fleetHash == this->summaryMembersHash ? this->summaryBytes : this->summaryBytesWithMembers;
 }
 
+HttpResponse PeerExchange::answerReport(const std::string &body)
+{
+    HttpResponse response;
+    const MonotonicTime now = monotonicNow();
+    const auto report = decodePeerReport(body);
+    if (!report) {
+        logEvent(LogLevel::Warning, "peer.malformed", {{"message", report.error().message}});
+        response.status = 400;
+        return response;
+    }
+    const FleetMember &sender = report.value().sender;
+    this->directory.fleet().record(sender, now);
+    const bool isOwnDomain = sender.failureDomain == this->state.settings.failureDomain;
+    // Another failure domain sums its reports itself; its instances report here only to learn members.
+    if (isOwnDomain) {
+        this->board.record(report.value(), now);
+    }
+    const bool lacksMembers = !isOwnDomain && report.value().fleetHash != fleetHash(this->directory.fleet().members());
+    if (report.value().wantsSummary || lacksMembers) {
+        response.body = this->encodedSummary(report.value(), now);
+    }
+    return response;
+}
+
+HttpResponse PeerExchange::recordDomainSummary(const std::string &body)
+{
+    HttpResponse response;
+    const MonotonicTime now = monotonicNow();
+    auto summary = decodePeerSummary(body);
+    if (!summary) {
+        logEvent(LogLevel::Warning, "peer.malformed", {{"message", summary.error().message}});
+        response.status = 400;
+        return response;
+    }
+    this->directory.fleet().merge(summary.value().members, now);
+    // A new configuration or a bad version is passed on without waiting for the next report.
+    const auto isNewlyBad = [this](const TrialReport &trial) {
+        const auto known = this->state.versions.rollouts().find(trial.service);
+        return trial.isBad && known != this->state.versions.rollouts().end() && !known->second.isBad;
+    };
+    const auto &trials = summary.value().trials;
+    if ((this->state.routes && summary.value().configuration > this->state.routes->configuration().version)
+        || std::any_of(trials.begin(), trials.end(), isNewlyBad)) {
+        this->nextReport = std::min(this->nextReport, now);
+    }
+    this->otherDomains.record(std::move(summary).value(), now);
+    return response;
+}
+
 Asio::awaitable<void> PeerExchange::serve(HttpExchange &exchange)
 {
     HttpResponse response;
@@ -317,17 +437,9 @@
         co_await this->relayHandler(exchange);
         co_return;
     } else if (path == reportPath) {
-        const MonotonicTime now = monotonicNow();
-        const auto report = decodePeerReport(exchange.request().body);
-        if (report) {
-            this->board.record(report.value(), now);
-            if (report.value().wantsSummary) {
-                response.body = this->encodedSummary(report.value(), now);
-            }
-        } else {
-            logEvent(LogLevel::Warning, "peer.malformed", {{"message", report.error().message}});
-            response.status = 400;
-        }
+        response = this->answerReport(exchange.request().body);
+    } else if (path == domainPath) {
+        response = this->recordDomainSummary(exchange.request().body);
     } else {
         response.status = 404;
     }
@@ -336,23 +448,16 @@
 
 int PeerExchange::rankFor(const std::string &task) const
 {
-    return memberRank(this->fleet.members(), this->state.settings.instance, task);
+    return memberRank(this->directory.fleet().members(), this->state.settings.instance, task);
 }
 
 int PeerExchange::runningOnOtherVersions(const std::string &service, const std::string &version) const
 {
     int running = 0;
-    const auto add = [&](const std::string &id, int requests) {
-        const EndpointEntry *endpoint = this->state.endpoints.find(id);
-        if (endpoint && endpoint->service == service && endpoint->version != version) {
-            running += requests;
+    for (const EndpointEntry *endpoint : this->state.endpoints.ofService(service)) {
+        if (endpoint->version != version) {
+            running += this->state.chooser.loads().find(endpoint->id).concurrentRequests();
         }
-    };
-    for (const auto &[id, load] : this->state.chooser.loads().all()) {
-        add(id, load.running);
-    }
-    for (const auto &[id, use] : this->peerUses) {
-        add(id, use.running);
     }
     return running;
 }
@@ -360,35 +465,22 @@
 std::optional<HttpAddress> PeerExchange::relayHub() const
 {
     const MonotonicTime now = monotonicNow();
-    if (this->fleet.members().size() < minRelayedMembers || now - this->summaryReceivedAt > membershipTimeout) {
-        return std::nullopt;
-    }
-    const std::vector<std::string> hubs = chooseHubs(this->fleet.members(), {});
-    std::vector<HttpAddress> usable;
-    for (const std::string &hub : hubs) {
-        const HttpAddress address = parseHttpAddress(hub);
-        if (address == this->state.settings.peers) {
-            return std::nullopt;
-        }
-        const auto link = this->links.find(address);
-        if (link == this->links.end() || link->second.excludedUntil <= now) {
-            usable.push_back(address);
-        }
-    }
-    if (usable.empty()) {
+    if (this->directory.fleet().members().size() < minRelayedMembers || now - this->summaryReceivedAt > membershipTimeout) {
         return std::nullopt;
     }
-    return this->assignedHub(usable);
+    const StoreAccess access = this->state.storeProbe.isFailing() ? StoreAccess::Failing : StoreAccess::Working;
+    const auto hub = this->directory.relayHub(access, now);
+    return hub ? std::optional(parseHttpAddress(*hub)) : std::nullopt;
 }
 
-HttpAddress PeerExchange::assignedHub(const std::vector<HttpAddress> &hubs) const
+bool PeerExchange::relaysConfiguration() const
 {
-    return hubs[hash64(this->state.settings.instance) % hubs.size()];
+    return this->directory.fleet().members().size() >= minConfigurationRelayMembers;
 }
 
 void PeerExchange::excludeHub(const HttpAddress &hub)
 {
-    this->links[hub].excludedUntil = monotonicNow() + hubExclusionTime;
+    this->directory.exclude(toText(hub), monotonicNow() + hubExclusionTime);
 }
 
 void PeerExchange::setRelayHandler(HttpHandler handler)
@@ -403,12 +495,12 @@
 
 bool PeerExchange::hasOtherMembers() const
 {
-    return this->fleet.members().size() > 1;
+    return this->directory.fleet().members().size() > 1;
 }
 
 int PeerExchange::liveInstanceCount() const
 {
-    return std::max<int>(1, static_cast<int>(this->fleet.members().size()));
+    return std::max<int>(1, static_cast<int>(this->directory.fleet().members().size()));
 }
 
 } // namespace Godwitfork
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "LibEntry/EntryState.h"
-#include "LibGateway/FleetView.h"
+#include "LibGateway/DomainSummaries.h"
+#include "LibGateway/HubDirectory.h"
 #include "LibGateway/PeerReportAggregator.h"
 #include "LibHttp/HttpClient.h"
 #include "LibHttp/HttpServer.h"
@@ -17,9 +18,9 @@
 namespace Godwitfork
 {
 
-/// Exchanges state with the other entry instances. Every instance reports to two hubs, chosen by the same rule everywhere, and
-/// receives a summary of all reports. The exchange carries data for which the store is too slow or too expensive, and updates
-/// that an instance misses while the store rejects its calls.
+/// Exchanges state with the other entry instances. Every instance reports to the two hubs of its failure domain and receives a summary of
+/// all reports from the primary one; the primaries exchange the sums of their failure domains. The exchange carries data for which the
+/// store is too slow or too expensive, and updates that an instance misses while the store rejects its calls.
 class PeerExchange
 {
 public:
@@ -32,11 +33,11 @@
     int rankFor(const std::string &task) const;
     /// Number of requests, over all instances, that run on the service's endpoints of any version other than `version`.
     int runningOnOtherVersions(const std::string &service, const std::string &version) const;
-    /// Hub through which this instance follows the store. Empty if this instance is a hub, the fleet is too small, the last
-    /// summary is too old, or no hub is usable.
+    /// Hub through which this instance follows the store. Empty if this instance reads the store itself, the fleet is too small, the
+    /// last summary is too old, or no hub is usable.
     std::optional<HttpAddress> relayHub() const;
-    /// Hub that serves this instance, chosen from `hubs` by a hash of the instance name that spreads the load.
-    HttpAddress assignedHub(const std::vector<HttpAddress> &hubs) const;
+    /// Whether the fleet is large enough for hubs to relay the configuration too.
+    bool relaysConfiguration() const;
     /// Excludes an unresponsive hub for a fixed time.
     void excludeHub(const HttpAddress &hub);
     /// Sets the handler for relay requests to the peer listener.
@@ -51,17 +52,24 @@
 private:
     struct PeerLink {
         bool busy = false;
-        MonotonicTime excludedUntil;
         /// Last report sent, subtracted from the summary to get the totals of the other instances.
         PeerReport sent;
     };
 
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    HttpResponse answerReport(const std::string &body);
+    HttpResponse recordDomainSummary(const std::string &body);
     boost::asio::awaitable<void> sendReport(HttpAddress address, std::string body);
+    boost::asio::awaitable<void> sendDomainSummary(HttpAddress address, std::string body);
+    /// Sends the sum of this failure domain's reports to the other ones if this instance is the primary hub and it is due.
+    void exchangeDomains(MonotonicTime now);
+    void recordPeerAnswer(const HttpAddress &address, bool isAnswered, const std::string &message, MonotonicTime now);
+    PeerSummary totalSummary(MonotonicTime now) const;
     boost::asio::awaitable<void> fetchConfiguration(HttpAddress address, ConfigurationVersion version);
     PeerReport makeReport(MonotonicTime now) const;
-    /// Returns the addresses that get the next report: the hubs and, at intervals, a seed.
-    std::vector<HttpAddress> reportTargets(MonotonicTime now);
+    /// Returns the seeds that get the next report besides the hubs.
+    std::vector<HttpAddress> seedTargets(MonotonicTime now);
+    Duration reportDelay() const;
     void applySummary(const PeerSummary &summary, const PeerReport &own, MonotonicTime now);
     void applyPlacements(const CachePlacements &placements);
     void fetchNewerConfiguration(const std::string &holder, ConfigurationVersion version);
@@ -77,17 +85,24 @@
     PeerReportAggregator board;
     HttpHandler relayHandler;
     std::map<HttpAddress, PeerLink> links;
-    FleetView fleet;
+    DomainSummaries otherDomains;
+    HubDirectory directory;
+    MonotonicTime startedAt;
     /// Number of instances in the summary in use, and the time of its arrival.
     std::size_t summaryMemberCount = 0;
     MonotonicTime summaryReceivedAt;
     MonotonicTime nextSeedReport;
-    EndpointUsageMap peerUses;
+    /// Size of the last summary received, in bytes.
+    std::size_t summarySize = 0;
     std::string summaryBytes;
     std::string summaryBytesWithMembers;
     std::uint64_t summaryMembersHash = 0;
     MonotonicTime summaryEncodedAt;
     MonotonicTime nextReport;
+    MonotonicTime nextDomainExchange;
+    /// Newest configuration and number of bad trials in the last summary sent to other failure domains.
+    ConfigurationVersion exchangedConfiguration = 0;
+    std::ptrdiff_t exchangedBadTrials = 0;
     ConfigurationVersion reportedConfiguration = 0;
     std::set<std::string> reportedBadServices;
     ConfigurationVersion fetchingVersion = 0;
--- a/Libraries/LibGateway/CatalogHistory.h
+++ b/Libraries/LibGateway/CatalogHistory.h
@@ -23,8 +23,8 @@
 class CatalogHistory
 {
 public:
-    /// Creates an empty history of at most `maxPages` pages; the oldest page is dropped first.
-    explicit CatalogHistory(std::size_t maxPages);
+    /// Creates an empty history of at most `maxPages` pages and, beyond the newest page, `maxBytes` bytes; the oldest page is dropped first.
+    CatalogHistory(std::size_t maxPages, std::size_t maxBytes);
 
     /// Appends the result of a watch. If it does not continue the newest page, all earlier pages are dropped.
     void add(HistoryPage page);
@@ -35,6 +35,8 @@
 
 private:
     std::size_t maxPages;
+    std::size_t maxBytes;
+    std::size_t usedBytes = 0;
     std::deque<HistoryPage> pages;
 };
 
@@ -44,8 +46,8 @@
         /// Heartbeat: the sender still receives answers from the store.
         Alive,
         Page,
-        /// The sender's history does not reach back to the requested revision.
-        HistoryLost,
+        /// The sender has a page that is too large to relay; the receiver reads it from the store.
+        Withheld,
     };
 
     Type type = Type::Alive;
--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -141,7 +141,7 @@
         std::vector<CachedPart> parts = cachedParts(promptPrefixKeys(query.model, query.parts), query.parts);
         this->recordPlacement(choice.endpoint.id, parts, query.memoryTokens);
         if (choice.sharedPrefixKey) {
-            std::vector<CachedPart> &unreported = this->unreportedPlacements[choice.endpoint.id];
+            std::vector<CachedPart> &unreported = this->unreportedPlacements[endpointKey(choice.endpoint.id)];
             unreported.insert(unreported.end(), parts.begin(), std::prev(parts.end()));
         }
     }
--- a/Libraries/LibGateway/EndpointLoads.cpp
+++ b/Libraries/LibGateway/EndpointLoads.cpp
@@ -69,7 +69,7 @@
 
 LoadTicket EndpointLoads::begin(const EndpointEntry &endpoint, Duration expectedPrompt)
 {
-    EndpointLoad &load = this->loads[endpoint.id];
+    EndpointLoad &load = this->loads[endpointKey(endpoint.id)];
     ++load.running;
     load.pendingPromptTime += expectedPrompt;
     return {endpoint.id, endpoint.service, expectedPrompt, true};
@@ -77,7 +77,7 @@
 
 void EndpointLoads::recordFirstOutput(LoadTicket &ticket, Duration elapsed, Duration expected, MonotonicTime now)
 {
-    EndpointLoad &load = this->loads[ticket.endpoint];
+    EndpointLoad &load = this->loads[endpointKey(ticket.endpoint)];
     if (ticket.isWaiting) {
         load.pendingPromptTime = std::max(Duration::zero(), load.pendingPromptTime - ticket.expectedPrompt);
         ticket.isWaiting = false;
@@ -118,12 +118,12 @@
 
 void EndpointLoads::recordOutput(const std::string &endpoint, MonotonicTime now)
 {
-    this->loads[endpoint].lastOutput = now;
+    this->loads[endpointKey(endpoint)].lastOutput = now;
 }
 
 void EndpointLoads::end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now)
 {
-    EndpointLoad &load = this->loads[ticket.endpoint];
+    EndpointLoad &load = this->loads[endpointKey(ticket.endpoint)];
     load.running = std::max(0, load.running - 1);
     if (ticket.isWaiting) {
         load.pendingPromptTime = std::max(Duration::zero(), load.pendingPromptTime - ticket.expectedPrompt);
@@ -151,32 +151,27 @@
 const EndpointLoad &EndpointLoads::find(const std::string &endpoint) const
 {
     static const EndpointLoad unknown;
-    const auto load = this->loads.find(endpoint);
+    const auto load = this->loads.find(endpointKey(endpoint));
     return load == this->loads.end() ? unknown : load->second;
 }
 
 EndpointLoad &EndpointLoads::getOrCreate(const std::string &endpoint)
 {
-    return this->loads[endpoint];
+    return this->loads[endpointKey(endpoint)];
 }
 
 void EndpointLoads::forget(const std::string &endpoint)
 {
-    this->loads.erase(endpoint);
-}
-
-const std::map<std::string, EndpointLoad> &EndpointLoads::all() const
-{
-    return this->loads;
+    this->loads.erase(endpointKey(endpoint));
 }
 
 void EndpointLoads::setPeerUsage(const EndpointUsageMap &usage, const ServiceStatisticsMap &newStatistics, MonotonicTime now)
 {
-    for (auto &[id, load] : this->loads) {
+    for (auto &[key, load] : this->loads) {
         load.peers = {};
     }
-    for (const auto &[id, peerUsage] : usage) {
-        EndpointLoad &load = this->loads[id];
+    for (const auto &[key, peerUsage] : usage) {
+        EndpointLoad &load = this->loads[key];
         load.peers = peerUsage;
         if (peerUsage.sinceOutput) {
             load.lastPeerOutput = std::max(load.lastPeerOutput, now - *peerUsage.sinceOutput);
@@ -188,11 +183,11 @@
 EndpointUsageMap EndpointLoads::ownUsage(MonotonicTime now) const
 {
     EndpointUsageMap usages;
-    for (const auto &[id, load] : this->loads) {
+    for (const auto &[key, load] : this->loads) {
         const ObservationSum failures = load.failures.valueAt(now);
         const bool hasRecentOutput = load.lastOutput != MonotonicTime() && now - load.lastOutput <= maxReportedOutputAge;
         if (load.running > 0 || failures.sum >= minReportedWeight || hasRecentOutput) {
-            usages[id] = {load.running, load.pendingPromptTime, failures, hasRecentOutput ? std::optional(now - load.lastOutput) : std::nullopt};
+            usages[key] = {load.running, load.pendingPromptTime, failures, hasRecentOutput ? std::optional(now - load.lastOutput) : std::nullopt};
         }
     }
     return usages;
--- a/Libraries/LibGateway/EndpointLoads.h
+++ b/Libraries/LibGateway/EndpointLoads.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace Godwitfork
 {
@@ -83,7 +84,6 @@
     /// Returns the load of an endpoint and creates it if the endpoint is unknown.
     EndpointLoad &getOrCreate(const std::string &endpoint);
     void forget(const std::string &endpoint);
-    const std::map<std::string, EndpointLoad> &all() const;
     /// Observed over expected time until first outputs, at all endpoints of a service and over all instances: a mean with exponential
     /// decay.
     double meanSlowdown(const std::string &service, MonotonicTime now) const;
@@ -111,7 +111,7 @@
 
     ServiceStatistics fleetStatistics(const std::string &service, MonotonicTime now) const;
 
-    std::map<std::string, EndpointLoad> loads;
+    std::unordered_map<EndpointKey, EndpointLoad> loads;
     std::map<std::string, DecayingStatistics> statistics;
     ServiceStatisticsMap peerStatistics;
 };
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -113,14 +113,23 @@
     return {json.at(0).get<double>() / observationUnits, json.at(1).get<double>() / observationUnits};
 }
 
+/// Encodes each usage as an array of its key and its fields without trailing zeros, since most fields of an idle endpoint are 0.
 Json encodeEndpoints(const EndpointUsageMap &usages)
 {
-    Json endpoints = Json::object();
-    for (const auto &[id, usage] : usages) {
-        Json &entry = endpoints[id] = Json::array({usage.running, toMilliseconds(usage.pendingPromptTime), encodeObservations(usage.failures)});
-        if (usage.sinceOutput) {
-            entry.push_back(toMilliseconds(*usage.sinceOutput));
+    Json endpoints = Json::array();
+    for (const auto &[key, usage] : usages) {
+        // 0 stands for no recent output.
+        const std::int64_t sinceOutput = usage.sinceOutput ? toMilliseconds(*usage.sinceOutput) + 1 : 0;
+        std::vector<std::int64_t> fields = {key,
+                                            usage.running,
+                                            toMilliseconds(usage.pendingPromptTime),
+                                            sinceOutput,
+                                            std::llround(usage.failures.weight * observationUnits),
+                                            std::llround(usage.failures.sum * observationUnits)};
+        while (fields.back() == 0 && fields.size() > 1) {
+            fields.pop_back();
         }
+        endpoints.push_back(std::move(fields));
     }
     return endpoints;
 }
@@ -128,14 +137,15 @@
 EndpointUsageMap decodeEndpoints(const Json &json)
 {
     EndpointUsageMap usages;
-    for (const auto &[id, usage] : json.items()) {
-        EndpointUsage &decoded = usages[id];
-        decoded.running = usage.at(0).get<int>();
-        decoded.pendingPromptTime = std::chrono::milliseconds(usage.at(1).get<std::int64_t>());
-        decoded.failures = decodeObservations(usage.at(2));
-        if (usage.size() > 3) {
-            decoded.sinceOutput = std::chrono::milliseconds(usage.at(3).get<std::int64_t>());
+    for (const Json &fields : json) {
+        const auto field = [&fields](std::size_t index) { return index < fields.size() ? fields.at(index).get<std::int64_t>() : 0; };
+        EndpointUsage &usage = usages[fields.at(0).get<EndpointKey>()];
+        usage.running = static_cast<int>(field(1));
+        usage.pendingPromptTime = std::chrono::milliseconds(field(2));
+        if (field(3) > 0) {
+            usage.sinceOutput = std::chrono::milliseconds(field(3) - 1);
         }
+        usage.failures = {static_cast<double>(field(5)) / observationUnits, static_cast<double>(field(4)) / observationUnits};
     }
     return usages;
 }
@@ -162,15 +172,17 @@
     return statistics;
 }
 
+/// Encodes the parts of each endpoint as an array: the endpoint's key, then key and tokens of each part.
 Json encodePlacements(const CachePlacements &placements)
 {
-    Json json = Json::object();
+    Json json = Json::array();
     for (const auto &[endpoint, parts] : placements) {
-        Json &list = json[endpoint] = Json::array();
+        Json list = Json::array({endpoint});
         for (const CachedPart &part : parts) {
             list.push_back(part.key);
             list.push_back(part.tokens);
         }
+        json.push_back(std::move(list));
     }
     return json;
 }
@@ -178,9 +190,10 @@
 CachePlacements decodePlacements(const Json &json)
 {
     CachePlacements placements;
-    for (const auto &[endpoint, list] : json.items()) {
-        for (std::size_t i = 0; i + 1 < list.size(); i += 2) {
-            placements[endpoint].push_back({list.at(i).get<std::uint64_t>(), list.at(i + 1).get<std::int64_t>()});
+    for (const Json &list : json) {
+        std::vector<CachedPart> &parts = placements[list.at(0).get<EndpointKey>()];
+        for (std::size_t i = 1; i + 1 < list.size(); i += 2) {
+            parts.push_back({list.at(i).get<std::uint64_t>(), list.at(i + 1).get<std::int64_t>()});
         }
     }
     return placements;
@@ -224,12 +237,12 @@
 
 Json encodeMember(const FleetMember &member)
 {
-    return Json::array({member.instance, member.address, member.capacity});
+    return Json::array({member.instance, member.address, member.capacity, member.failureDomain});
 }
 
 FleetMember decodeMember(const Json &json)
 {
-    return {json.at(0).get<std::string>(), json.at(1).get<std::string>(), json.at(2).get<int>()};
+    return {json.at(0).get<std::string>(), json.at(1).get<std::string>(), json.at(2).get<int>(), json.at(3).get<std::string>()};
 }
 
 std::string toBytes(const Json &json)
@@ -306,11 +319,13 @@
 std::string encodePeerSummary(const PeerSummary &summary)
 {
     Json members = Json::array();
-    for (const FleetMember &member : summary.members) {
-        members.push_back(encodeMember(member));
+    for (const MemberSighting &sighting : summary.members) {
+        members.push_back(Json::array({encodeMember(sighting.member), toMilliseconds(sighting.age)}));
     }
-    return toBytes(Json::array({summary.memberCount,
+    return toBytes(Json::array({summary.failureDomain,
+                                summary.memberCount,
                                 members,
+                                toMilliseconds(summary.oldestSighting),
                                 summary.configuration,
                                 summary.configurationHolder,
                                 encodeEndpoints(summary.endpoints),
@@ -341,17 +356,19 @@
 {
     return decodeMessage<PeerSummary>(bytes, [](const Json &json) {
         PeerSummary summary;
-        summary.memberCount = json.at(0).get<std::int64_t>();
-        for (const Json &member : json.at(1)) {
-            summary.members.push_back(decodeMember(member));
+        summary.failureDomain = json.at(0).get<std::string>();
+        summary.memberCount = json.at(1).get<std::int64_t>();
+        for (const Json &sighting : json.at(2)) {
+            summary.members.push_back({decodeMember(sighting.at(0)), std::chrono::milliseconds(sighting.at(1).get<std::int64_t>())});
         }
-        summary.configuration = json.at(2).get<ConfigurationVersion>();
-        summary.configurationHolder = json.at(3).get<std::string>();
-        summary.endpoints = decodeEndpoints(json.at(4));
-        summary.statistics = decodeStatistics(json.at(5));
-        summary.placements = decodePlacements(json.at(6));
-        summary.leaving = decodeLeaving(json.at(7));
-        summary.trials = decodeTrials(json.at(8));
+        summary.oldestSighting = std::chrono::milliseconds(json.at(3).get<std::int64_t>());
+        summary.configuration = json.at(4).get<ConfigurationVersion>();
+        summary.configurationHolder = json.at(5).get<std::string>();
+        summary.endpoints = decodeEndpoints(json.at(6));
+        summary.statistics = decodeStatistics(json.at(7));
+        summary.placements = decodePlacements(json.at(8));
+        summary.leaving = decodeLeaving(json.at(9));
+        summary.trials = decodeTrials(json.at(10));
         return summary;
     });
 }
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -30,8 +30,7 @@
     auto operator<=>(const EndpointUsage &) const = default;
 };
 
-/// Usage by endpoint id.
-using EndpointUsageMap = std::map<std::string, EndpointUsage>;
+using EndpointUsageMap = std::map<EndpointKey, EndpointUsage>;
 
 /// Decayed statistics of the answers of a service's endpoints.
 struct ServiceStatistics {
@@ -60,8 +59,8 @@
     auto operator<=>(const CachedPart &) const = default;
 };
 
-/// Shared prompt parts that engines have read since the last report, by endpoint id, from the start of each prompt on.
-using CachePlacements = std::map<std::string, std::vector<CachedPart>>;
+/// Shared prompt parts that engines have read since the last report, by endpoint, from the start of each prompt on.
+using CachePlacements = std::map<EndpointKey, std::vector<CachedPart>>;
 
 /// Incarnation of an endpoint that is draining.
 struct LeavingEndpoint {
@@ -104,10 +103,19 @@
     std::string address;
     /// CPU quota of the instance in thousandths of a core; the instances with the highest quota are chosen as hubs.
     int capacity = 0;
+    std::string failureDomain;
 
     auto operator<=>(const FleetMember &) const = default;
 };
 
+/// Member of the fleet and the time since some instance last received a report from it.
+struct MemberSighting {
+    FleetMember member;
+    Duration age = Duration::zero();
+
+    auto operator<=>(const MemberSighting &) const = default;
+};
+
 /// Report that an entry instance sends to a hub periodically. A lost report is superseded by the next one.
 struct PeerReport {
     FleetMember sender;
@@ -126,12 +134,17 @@
     auto operator<=>(const PeerReport &) const = default;
 };
 
-/// Answer of a hub: the sum of the newest reports of all instances, including the hub and the receiver of the summary.
+/// Sum of the newest reports of the instances of one failure domain, or of all instances. A hub sends the first to the hubs of other failure
+/// domains, and the second to the instances of its own one; both include the sender, the second also the receiver.
 struct PeerSummary {
+    /// Failure domain whose reports are included; empty for all.
+    std::string failureDomain;
     /// Number of instances whose reports are included.
     std::int64_t memberCount = 0;
     /// Members in the hub's view; empty if the receiver has the same members.
-    std::vector<FleetMember> members;
+    std::vector<MemberSighting> members;
+    /// Age of the oldest sighting in the hub's view.
+    Duration oldestSighting = Duration::zero();
     /// Newest configuration version of any instance.
     ConfigurationVersion configuration = 0;
     /// Address of the peer listener of an instance with that version.
--- a/Libraries/LibGateway/PeerReportAggregator.cpp
+++ b/Libraries/LibGateway/PeerReportAggregator.cpp
@@ -11,10 +11,6 @@
 
 namespace
 {
-/// Two hubs tolerate the failure of one; every further hub adds one message per instance and interval.
-constexpr std::size_t hubCount = 2;
-constexpr const char *hubTask = "hub";
-
 EndpointUsage aged(EndpointUsage usage, Duration sinceReport)
 {
     if (usage.sinceOutput) {
@@ -23,13 +19,28 @@
     return usage;
 }
 
+/// Adds pins of sessions; of a session with several pins the newest one is kept.
+void addPins(std::vector<SessionPin> &pins, const std::vector<SessionPin> &added)
+{
+    for (const SessionPin &pin : added) {
+        const auto known = std::find_if(pins.begin(), pins.end(), [&](const SessionPin &other) { return other.session == pin.session; });
+        if (known == pins.end()) {
+            pins.push_back(pin);
+        } else if (pin.idle < known->idle) {
+            *known = pin;
+        }
+    }
+}
+
 void addTrial(std::vector<TrialReport> &trials, const TrialReport &added, Duration sinceReport)
 {
     const auto known =
         std::find_if(trials.begin(), trials.end(), [&](const TrialReport &trial) { return trial.service == added.service && trial.target == added.target; });
     TrialReport current = added;
     current.age += sinceReport;
-    current.sessions.clear();
+    for (SessionPin &pin : current.sessions) {
+        pin.idle += sinceReport;
+    }
     if (known == trials.end()) {
         trials.push_back(std::move(current));
         return;
@@ -38,6 +49,7 @@
     known->age = std::max(known->age, current.age);
     known->isBad = known->isBad || current.isBad;
     known->observations += current.observations;
+    addPins(known->sessions, current.sessions);
 }
 
 /// Keeps the endpoints with failures or slow answers. Of the others two are kept, as evidence that the version runs on more endpoints.
@@ -83,8 +95,9 @@
     }
 }
 
-void PeerReportAggregator::addSessions(TrialReport &trial, MonotonicTime now) const
+void PeerReportAggregator::setSessions(TrialReport &trial, MonotonicTime now) const
 {
+    trial.sessions.clear();
     const auto known = this->openSessions.find({trial.service, trial.target});
     if (known == this->openSessions.end()) {
         return;
@@ -118,7 +131,7 @@
     std::set<LeavingEndpoint> leaving;
     for (const auto &[instance, entry] : this->entries) {
         const PeerReport &report = entry.report;
-        summary.members.push_back(report.sender);
+        summary.members.push_back({report.sender, now - entry.received});
         if (report.configuration > summary.configuration) {
             summary.configuration = report.configuration;
             summary.configurationHolder = report.sender.address;
@@ -141,26 +154,40 @@
     summary.memberCount = static_cast<std::int64_t>(summary.members.size());
     for (TrialReport &trial : summary.trials) {
         dropHealthyEndpoints(trial.observations.candidateByEndpoint);
-        this->addSessions(trial, now);
+        this->setSessions(trial, now);
     }
     summary.leaving.assign(leaving.begin(), leaving.end());
     return summary;
 }
 
-std::vector<std::string> chooseHubs(const std::vector<FleetMember> &members, const std::vector<std::string> &avoided)
+void addSummary(PeerSummary &total, const PeerSummary &added, Duration age)
 {
-    std::vector<std::tuple<int, std::uint64_t, std::string>> scored;
-    for (const FleetMember &member : members) {
-        if (std::find(avoided.begin(), avoided.end(), member.address) == avoided.end()) {
-            scored.emplace_back(member.capacity, rendezvousScore(hubTask, member.address), member.address);
+    total.memberCount += added.memberCount;
+    for (const MemberSighting &sighting : added.members) {
+        total.members.push_back({sighting.member, sighting.age + age});
+    }
+    if (added.configuration > total.configuration) {
+        total.configuration = added.configuration;
+        total.configurationHolder = added.configurationHolder;
+    }
+    for (const auto &[endpoint, usage] : added.endpoints) {
+        total.endpoints[endpoint] += aged(usage, age);
+    }
+    for (const auto &[service, serviceStatistics] : added.statistics) {
+        total.statistics[service] += serviceStatistics;
+    }
+    for (const auto &[endpoint, parts] : added.placements) {
+        std::vector<CachedPart> &known = total.placements[endpoint];
+        known.insert(known.end(), parts.begin(), parts.end());
+    }
+    for (const LeavingEndpoint &endpoint : added.leaving) {
+        if (std::find(total.leaving.begin(), total.leaving.end(), endpoint) == total.leaving.end()) {
+            total.leaving.push_back(endpoint);
         }
     }
-    std::sort(scored.rbegin(), scored.rend());
-    std::vector<std::string> hubs;
-    for (std::size_t i = 0; i < std::min(hubCount, scored.size()); ++i) {
-        hubs.push_back(std::get<std::string>(scored[i]));
+    for (const TrialReport &trial : added.trials) {
+        addTrial(total.trials, trial, age);
     }
-    return hubs;
 }
 
 int memberRank(const std::vector<FleetMember> &members, const std::string &instance, const std::string &task)
--- a/Libraries/LibGateway/PeerReportAggregator.h
+++ b/Libraries/LibGateway/PeerReportAggregator.h
@@ -10,7 +10,7 @@
 namespace Godwitfork
 {
 
-/// Newest report of every live instance, held by a hub and added up to a summary.
+/// Newest report of every live instance of a failure domain, held by a hub and added up to a summary.
 class PeerReportAggregator
 {
 public:
@@ -37,7 +37,7 @@
     };
 
     void recordSessions(const TrialReport &trial, MonotonicTime now);
-    void addSessions(TrialReport &trial, MonotonicTime now) const;
+    void setSessions(TrialReport &trial, MonotonicTime now) const;
 
     Duration lifetime;
     Duration sessionLifetime;
@@ -47,9 +47,8 @@
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, OpenSession>> openSessions;
 };
 
-/// Returns the peer addresses of the hubs: the instances that collect reports. Instances with the same list of members choose the same
-/// hubs. Members whose address is in `avoided` did not answer and are not chosen.
-std::vector<std::string> chooseHubs(const std::vector<FleetMember> &members, const std::vector<std::string> &avoided);
+/// Adds a summary that was received `age` ago to a total.
+void addSummary(PeerSummary &total, const PeerSummary &added, Duration age);
 
 /// Returns the rank of an instance among the members for a task by rendezvous hashing, from 0.
 int memberRank(const std::vector<FleetMember> &members, const std::string &instance, const std::string &task);
--- a/Libraries/LibGateway/StoreProbe.cpp
+++ b/Libraries/LibGateway/StoreProbe.cpp
@@ -16,6 +16,11 @@
     return this->prober && this->prober != kind;
 }
 
+bool StoreProbe::isFailing() const
+{
+    return this->prober.has_value();
+}
+
 void StoreProbe::recordSuccess()
 {
     this->prober.reset();
--- a/Libraries/LibGateway/StoreProbe.h
+++ b/Libraries/LibGateway/StoreProbe.h
@@ -17,6 +17,8 @@
     bool acquire(CatalogKind kind);
     /// Whether another kind's follower probes the store.
     bool isWaiting(CatalogKind kind) const;
+    /// Whether the last call to the store failed.
+    bool isFailing() const;
     /// Ends the probing, since the store answered.
     void recordSuccess();
     /// Ends the probing if the kind's follower is the prober, since it no longer calls the store.
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -12,12 +12,13 @@
 PeerReport fullReport()
 {
     PeerReport report;
-    report.sender = {"entry-1", "10.0.0.1:7000"};
+    report.sender = {"entry-1", "10.0.0.1:7000", 120, "north"};
     report.configuration = 12;
-    report.endpoints["e1"] = {3, 450ms, {1.5, 4}, 120ms};
-    report.endpoints["e3"] = {1, 0ms, {}, std::nullopt};
+    report.endpoints[endpointKey("e1")] = {3, 450ms, {1.5, 4}, 120ms};
+    report.endpoints[endpointKey("e3")] = {1, 0ms, {}, std::nullopt};
+    report.endpoints[endpointKey("e4")] = {0, 0ms, {}, 0ms};
     report.statistics["pool"] = {{12.25, 3.5}, {7, 20}, {200, 30}};
-    report.placements["e1"] = {{0xfedcba9876543210, 13000}, {7, 400}};
+    report.placements[endpointKey("e1")] = {{0xfedcba9876543210, 13000}, {7, 400}};
     report.leaving = {{"e2", 1700000000000}};
     TrialReport trial;
     trial.service = "pool";
@@ -43,8 +44,10 @@
 TEST_CASE("A summary is equal after encoding and decoding", "[peer]")
 {
     PeerSummary summary;
+    summary.failureDomain = "north";
     summary.memberCount = 1;
-    summary.members = {{"entry-1", "10.0.0.1:7000", 250}};
+    summary.members = {{{"entry-1", "10.0.0.1:7000", 250, "north"}, 800ms}};
+    summary.oldestSighting = 900ms;
     summary.configuration = 12;
     summary.configurationHolder = "10.0.0.1:7000";
     summary.endpoints = fullReport().endpoints;
