Open the relay stream again once the fleet is large enough for the configuration

Followers opened their stream while the fleet had fewer than 24 known members, without the configuration, and kept it; each went on watching the configuration, with the short wait of a hub. A hub that was left because another one was to be followed counted as silent. Change: a stream is opened again when other kinds are to be relayed; only a stream that failed makes its hub count as silent. Tests: a follower of a scripted hub asks for the configuration once the fleet is large (it did not before), and leaves a hub that sends nothing.

--- a/Libraries/LibEntry/CatalogRelay.cpp
+++ b/Libraries/LibEntry/CatalogRelay.cpp
@@ -109,30 +109,26 @@
     options.responseTimeout = openTimeout;
     options.idleTimeout = heartbeatTimeout;
     options.tcpUserTimeout = heartbeatTimeout;
-    std::vector<CatalogFollower *> relayed;
-    std::copy_if(this->followers.begin(), this->followers.end(), std::back_inserter(relayed), [this](const CatalogFollower *follower) {
-        return this->isRelayed(follower->objectKind());
-    });
+    std::vector<CatalogFollower *> relayed = this->followersToRelay();
     auto stream = co_await this->client.open(hub, makeRequest("GET", relayTarget(relayed)), options);
     if (!stream || stream.value()->status() != 200) {
         this->reportUnresponsiveHub(hub);
         co_return;
     }
     this->following = true;
-    this->relayedFollowers = std::move(relayed);
+    this->relayedFollowers = relayed;
     for (CatalogFollower *follower : this->relayedFollowers) {
         follower->setRelayed(true);
     }
     ServerSentEventParser parser;
     bool isValid = true;
-    // Follows this hub until it fails or no hub is to be followed. Another hub that becomes usable is no reason to switch.
-    while (isValid && this->chooseHub()) {
+    // Another hub that becomes usable is no reason to switch. The stream is opened again when the fleet has grown or shrunk so that other kinds
+    // are relayed.
+    while (isValid && this->chooseHub() && this->followersToRelay() == relayed) {
         const auto bytes = co_await stream.value()->readSome();
-        if (!bytes || bytes.value().empty()) {
-            break;
-        }
-        const auto events = parser.feed(bytes.value());
-        isValid = events.has_value();
+        isValid = bytes && !bytes.value().empty();
+        const auto events = isValid ? parser.feed(bytes.value()) : ErrorOr<std::vector<ServerSentEvent>>(std::vector<ServerSentEvent>());
+        isValid = isValid && events.has_value();
         if (!isValid) {
             break;
         }
@@ -141,9 +137,20 @@
             isValid = isValid && frame && this->applyFrame(*frame) == FrameResult::Accepted;
         }
     }
-    this->reportUnresponsiveHub(hub);
+    if (!isValid) {
+        this->reportUnresponsiveHub(hub);
+        logEvent(LogLevel::Info, "relay.lost", {{"hub", toText(hub)}});
+    }
     this->endRelay();
-    logEvent(LogLevel::Info, "relay.lost", {{"hub", toText(hub)}});
+}
+
+std::vector<CatalogFollower *> CatalogRelay::followersToRelay() const
+{
+    std::vector<CatalogFollower *> relayed;
+    std::copy_if(this->followers.begin(), this->followers.end(), std::back_inserter(relayed), [this](const CatalogFollower *follower) {
+        return this->isRelayed(follower->objectKind());
+    });
+    return relayed;
 }
 
 CatalogRelay::FrameResult CatalogRelay::applyFrame(const RelayFrame &frame)
--- a/Libraries/LibEntry/CatalogRelay.h
+++ b/Libraries/LibEntry/CatalogRelay.h
@@ -48,6 +48,8 @@
     enum class FrameResult { Accepted, Refused };
 
     boost::asio::awaitable<void> follow(HttpAddress hub);
+    /// Returns the followers whose kinds are relayed in a fleet of the present size.
+    std::vector<CatalogFollower *> followersToRelay() const;
     boost::asio::awaitable<bool> sendPages(HttpExchange &exchange, std::vector<RelayPosition> &positions);
     /// Waits a short time until this instance can relay; one that has just become a hub reads the store first.
     boost::asio::awaitable<bool> waitUntilRelaying(const std::vector<RelayPosition> &positions);
