End answers that never end

A body of one byte at a time renewed the idle timeout, so nothing bounded a plain answer, a call to a peer or to the store as a whole; 100 Continue was handed on as the final answer; the body of an answer that belongs to another request was skipped without a limit; 16 MiB were held for each plain answer on instances of 88 to 160 MB.

--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -69,6 +69,8 @@
     settings.retryWindow = readSeconds(reader, "retry_window_s", 10, 1, 600);
     settings.exposureShare = readFraction(reader, "exposure_share", settings.exposureShare, 0, 1);
     settings.rollbackLimit = reader.milliseconds("rollback_limit_ms", 5000, 100, 600'000);
+    settings.maxAnswerBytes = reader.integer("max_answer_bytes", settings.maxAnswerBytes, 1024, 1L << 30);
+    settings.maxStreamBytes = reader.integer("max_stream_bytes", settings.maxStreamBytes, 1024, 1L << 40);
     settings.drainLimit = reader.milliseconds("drain_limit_ms", 5000, 500, 600'000);
     settings.configurationLimit = reader.milliseconds("configuration_limit_ms", 5000, 500, 600'000);
     settings.sessionLifetime = readSeconds(reader, "session_lifetime_s", 5, 0, 86'400);
@@ -100,6 +102,8 @@
         << "retry_window_s: " << seconds(settings.retryWindow) << "\n"
         << "exposure_share: " << settings.exposureShare << "\n"
         << "rollback_limit_ms: " << milliseconds(settings.rollbackLimit) << "\n"
+        << "max_answer_bytes: " << settings.maxAnswerBytes << "\n"
+        << "max_stream_bytes: " << settings.maxStreamBytes << "\n"
         << "drain_limit_ms: " << milliseconds(settings.drainLimit) << "\n"
         << "configuration_limit_ms: " << milliseconds(settings.configurationLimit) << "\n"
         << "session_lifetime_s: " << seconds(settings.sessionLifetime) << "\n";
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -38,6 +38,10 @@
     double exposureShare = 0.1;
     /// Time within which a rejected canary version must stop receiving requests.
     Duration rollbackLimit = std::chrono::seconds(5);
+    /// Largest plain answer of an endpoint in bytes; it is held in memory until it is complete.
+    long maxAnswerBytes = 4L * 1024 * 1024;
+    /// Largest streamed answer of an endpoint in bytes.
+    long maxStreamBytes = 64L * 1024 * 1024;
     /// Time within which a leaving endpoint must get no new requests.
     Duration drainLimit = std::chrono::seconds(5);
     /// Time within which a new configuration must be in force.
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -41,6 +41,8 @@
 constexpr Duration initialSeedReportInterval = std::chrono::milliseconds(700);
 constexpr Duration initialPeriod = std::chrono::seconds(5);
 constexpr Duration peerTimeout = std::chrono::milliseconds(400);
+/// Time to receive a whole answer of a peer; a large configuration takes longest.
+constexpr Duration peerBodyTimeout = std::chrono::seconds(2);
 /// Time for the watch of the store or the relay to return a new configuration before it is fetched from a peer.
 constexpr Duration watchGracePeriod = std::chrono::milliseconds(500);
 /// Time for which an encoded summary is reused for all reporting instances.
@@ -70,6 +72,7 @@
     options.responseTimeout = peerTimeout;
     options.idleTimeout = peerTimeout;
     options.tcpUserTimeout = peerTimeout;
+    options.bodyTimeout = peerBodyTimeout;
     return options;
 }
 } // namespace
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -29,7 +29,6 @@
 /// Part of the caller's deadline reserved for sending the answer back.
 constexpr Duration answerMargin = std::chrono::milliseconds(10);
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
-constexpr std::size_t maxAnswerBytes = std::size_t {16} * 1024 * 1024;
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
 /// Ratio of actual to expected time to first output above which an answer counts as slow.
 constexpr int slowAnswerFactor = 3;
@@ -303,6 +302,8 @@
     options.connectTimeout = std::min(connectTimeout, limit);
     options.responseTimeout = limit;
     options.idleTimeout = limit;
+    const EntrySettings &settings = this->state.settings;
+    options.maxBodyBytes = static_cast<std::size_t>(isStream(this->route->repeatRule) ? settings.maxStreamBytes : settings.maxAnswerBytes);
     options.tcpUserTimeout = unacknowledgedLimit;
     // A reused connection may close while the request is in transit; a request that must not be repeated could then not be sent again.
     options.reuse = mayRepeat(this->route->repeatRule) ? ConnectionReuse::Allowed : ConnectionReuse::Never;
@@ -398,10 +399,12 @@
     answer.status = stream->status();
     answer.headers = Platform::callerAnswerHeaders(stream->headers());
     while (true) {
+        // An endpoint that sends one byte at a time must not hold the request beyond its deadline.
+        stream->setIdleTimeout(this->remaining());
         auto bytes = co_await stream->readSome();
-        if (!bytes || answer.body.size() > maxAnswerBytes) {
+        if (!bytes) {
             outcome.end = AttemptEnd::Lost;
-            this->reason = bytes ? "answer_too_large" : bytes.error().message;
+            this->reason = bytes.error().message;
             co_return outcome;
         }
         if (bytes.value().empty()) {
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -27,7 +27,8 @@
 namespace
 {
 constexpr std::size_t readBufferBytes = 16 * 1024;
-constexpr std::size_t maxResponseBytes = 16 * 1024 * 1024;
+/// Bytes received and not parsed yet. More than one read, so that a full read after an incomplete element does not exceed it.
+constexpr std::size_t maxBufferedBytes = std::size_t {128} * 1024;
 constexpr std::size_t maxIdleConnectionsPerAddress = 256;
 /// Shorter than the idle timeout of HttpServer, 75 s, so that the server does not close a connection just when it is
 /// reused.
@@ -36,6 +37,11 @@
 constexpr Duration keepAliveMargin = std::chrono::seconds(1);
 /// Responses to earlier requests that one call skips; the call fails if more follow.
 constexpr int maxSkippedResponses = 2;
+/// Bytes of one skipped response. A longer one costs more to read than a new connection.
+constexpr std::size_t maxSkippedBytes = std::size_t {256} * 1024;
+/// Interim responses to one request; servers send one or two.
+constexpr int maxInterimResponses = 8;
+constexpr int finalStatusMinimum = 200;
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
@@ -120,12 +126,14 @@
     PooledResponseStream(std::shared_ptr<HttpClient::State> state,
                          HttpAddress address,
                          Duration idleTimeout,
+                         std::size_t maxBodyBytes,
                          SharedStream stream,
                          std::shared_ptr<OutgoingRequest> request,
                          std::shared_ptr<HttpCallCanceller> canceller)
         : state(std::move(state))
         , address(std::move(address))
         , idleTimeout(idleTimeout)
+        , maxBodyBytes(maxBodyBytes)
         , stream(std::move(stream))
         , request(std::move(request))
         , canceller(std::move(canceller))
@@ -145,6 +153,7 @@
     Asio::awaitable<boost::system::error_code> skipResponse()
     {
         boost::system::error_code error;
+        std::size_t skippedBytes = 0;
         while (!this->parser->is_done() && !error) {
             this->parser->get().body().data = this->bytes.data();
             this->parser->get().body().size = this->bytes.size();
@@ -152,6 +161,10 @@
             if (error == Http::error::need_buffer) {
                 error = {};
             }
+            skippedBytes += this->bytes.size() - this->parser->get().body().size;
+            if (!error && skippedBytes > maxSkippedBytes) {
+                error = Http::error::body_limit;
+            }
         }
         if (!error && !this->parser->keep_alive()) {
             error = Http::error::end_of_stream;
@@ -164,9 +177,18 @@
     Asio::awaitable<boost::system::error_code> readHeader()
     {
         boost::system::error_code error;
-        co_await Http::async_read_header(*this->stream, this->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
-        if (error) {
-            co_return error;
+        for (int interim = 0;; ++interim) {
+            co_await Http::async_read_header(*this->stream, this->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
+            if (error) {
+                co_return error;
+            }
+            if (this->status() >= finalStatusMinimum) {
+                break;
+            }
+            if (interim == maxInterimResponses) {
+                co_return Http::make_error_code(Http::error::bad_status);
+            }
+            this->startParser();
         }
         for (const auto &field : this->parser->get()) {
             this->head.push_back({std::string(field.name_string()), std::string(field.value())});
@@ -198,6 +220,13 @@
                 co_return makeError(SendPhase::Sent, error);
             }
             const std::size_t received = this->bytes.size() - this->parser->get().body().size;
+            this->receivedBytes += received;
+            if (this->receivedBytes > this->maxBodyBytes) {
+                this->stream->close();
+                this->stream.reset();
+                co_return HttpClientError {
+                    SendPhase::Sent, HttpFailure::MalformedResponse, "the response body exceeds " + std::to_string(this->maxBodyBytes) + " bytes"};
+            }
             if (received > 0) {
                 co_return std::string(this->bytes.data(), received);
             }
@@ -249,10 +278,13 @@
     std::shared_ptr<HttpClient::State> state;
     HttpAddress address;
     Duration idleTimeout;
+    std::size_t maxBodyBytes;
+    std::size_t receivedBytes = 0;
     SharedStream stream;
     std::shared_ptr<OutgoingRequest> request;
     std::shared_ptr<HttpCallCanceller> canceller;
-    Beast::flat_buffer buffer;
+    // The parser consumes a chunk header or a trailer only once it is complete, so its length is limited by the buffer alone.
+    Beast::flat_buffer buffer {maxBufferedBytes};
     std::optional<Http::response_parser<Http::buffer_body>> parser;
     HttpHeaders head;
     std::array<char, readBufferBytes> bytes;
@@ -359,7 +391,8 @@
     // The response is read while the request is still being sent, since the peer may respond before it has read a long body.
     Http::async_write(
         *stream, outgoing->message, [stream, outgoing](const boost::system::error_code &writeError, std::size_t) { outgoing->written = !writeError; });
-    auto response = std::make_unique<PooledResponseStream>(state, address, options.idleTimeout, std::move(stream), outgoing, options.canceller);
+    auto response =
+        std::make_unique<PooledResponseStream>(state, address, options.idleTimeout, options.maxBodyBytes, std::move(stream), outgoing, options.canceller);
     error = co_await response->readHeader();
     for (int skipped = 0; !error && options.isMatchingResponse && !options.isMatchingResponse(response->headers()); ++skipped) {
         if (skipped == maxSkippedResponses) {
@@ -382,15 +415,14 @@
     HttpResponse response;
     response.status = stream->status();
     response.headers = stream->headers();
+    const MonotonicTime deadline = monotonicNow() + options.bodyTimeout;
     while (true) {
+        stream->setIdleTimeout(std::min(options.idleTimeout, std::max(Duration::zero(), deadline - monotonicNow())));
         CO_TRY(bytes, co_await stream->readSome());
         if (bytes.empty()) {
             co_return response;
         }
         response.body += bytes;
-        if (response.body.size() > maxResponseBytes) {
-            co_return HttpClientError {SendPhase::Sent, HttpFailure::MalformedResponse, "the response body exceeds 16 MiB"};
-        }
     }
 }
 
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -66,6 +67,11 @@
     Duration responseTimeout = std::chrono::seconds(30);
     /// Time limit between two reads of the response body; the call fails with `Timeout` if no bytes arrive within it.
     Duration idleTimeout = std::chrono::seconds(10);
+    /// Time limit of `call` from the end of the response header to the end of the body. A peer that sends one byte at a time never exceeds
+    /// the idle timeout.
+    Duration bodyTimeout = std::chrono::seconds(30);
+    /// Largest response body in bytes; the call fails with `MalformedResponse` when more arrive.
+    std::size_t maxBodyBytes = std::size_t {16} * 1024 * 1024;
     ConnectionReuse reuse = ConnectionReuse::Allowed;
     /// Called on the open connection immediately before the first byte of the request; if it returns false, the request is not
     /// sent.
@@ -107,9 +113,9 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Sends a request and returns once the response header has arrived.
+    /// Sends a request and returns once the header of the final response has arrived. Interim (1xx) responses are skipped.
     boost::asio::awaitable<HttpOutcome<std::unique_ptr<HttpResponseStream>>> open(HttpAddress address, HttpRequest request, HttpCallOptions options);
-    /// Sends a request and reads the whole response, whose body is limited to 16 MiB.
+    /// Sends a request and reads the whole response.
     boost::asio::awaitable<HttpOutcome<HttpResponse>> call(HttpAddress address, HttpRequest request, HttpCallOptions options);
 
     struct State;
--- a/Tests/LibEntry/TestRequestRun.cpp
+++ b/Tests/LibEntry/TestRequestRun.cpp
@@ -1,5 +1,8 @@
 #include "EntryFixture.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 using namespace Godwitfork;
@@ -178,3 +181,46 @@
     CHECK(answer.status == 200);
     CHECK(answer.body == "yours");
 }
+
+TEST_CASE("A plain answer without end does not hold its caller beyond the deadline", "[run]")
+{
+    // Each byte renewed the time limit of the next read.
+    EntryFixture entry;
+    Route route = makeRoute(RepeatRule::NonIdempotent, 1);
+    route.timeout = std::chrono::milliseconds(400);
+    entry.setRoute(route);
+    entry.addEndpoint("e1", [](HttpExchange &exchange) -> awaitable<void> {
+        co_await exchange.startStream(200, validAnswerHeaders(exchange));
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+        for (bool isOpen = true; isOpen;) {
+            timer.expires_after(std::chrono::milliseconds(50));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            isOpen = co_await exchange.writeChunk("x");
+        }
+    });
+    const MonotonicTime started = monotonicNow();
+    const int status = entry.send(callerHeaders("id1")).status;
+    // The endpoint may have run the request.
+    CHECK((status == 502 || status == 504));
+    CHECK(monotonicNow() - started < std::chrono::seconds(1));
+}
+
+TEST_CASE("A plain answer that is larger than the limit counts as a failure of its endpoint", "[run]")
+{
+    EntryFixture entry;
+    entry.state.settings.maxAnswerBytes = 2048;
+    entry.setRoute(makeRoute(RepeatRule::Idempotent, 2));
+    int floods = 0;
+    const auto flood = [&floods](HttpExchange &exchange) -> awaitable<void> {
+        ++floods;
+        co_await exchange.startStream(200, validAnswerHeaders(exchange));
+        for (bool isOpen = true; isOpen;) {
+            isOpen = co_await exchange.writeChunk(std::string(1000, 'x'));
+        }
+    };
+    entry.addEndpoint("e1", flood);
+    entry.addEndpoint("e2", flood);
+    CHECK(entry.send(callerHeaders("id1")).status == 502);
+    CHECK(floods == 2);
+    CHECK(entry.state.chooser.loads().find("e1").fleetFailures(monotonicNow()).sum > 0.9);
+}
