--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -22,9 +22,7 @@
 constexpr Duration defaultWatchWait = std::chrono::seconds(8);
 /// Interval of checks whether the store must be watched again, or whether a probe has ended.
 constexpr Duration relayCheckInterval = std::chrono::milliseconds(50);
-/// Pauses between a change and the next watch; small against the time limits for leaving endpoints and new configurations.
-constexpr Duration endpointWatchPause = std::chrono::milliseconds(120);
-constexpr Duration configurationWatchPause = std::chrono::milliseconds(300);
+constexpr Duration defaultChangePause = std::chrono::milliseconds(120);
 /// Time to fail over to another hub before the store is watched directly: one retry pause and one relay connection.
 constexpr Duration relayFailoverTime = std::chrono::milliseconds(800);
 /// Longest wait for another follower's probe of the store; after it the follower calls the store itself.
@@ -55,6 +53,7 @@
     , kind(kind)
     , recentPages(maxHistoryPages, maxHistoryBytes)
     , watchWait(defaultWatchWait)
+    , changePause(defaultChangePause)
     , backoff(minBackoff)
 {
 }
@@ -122,7 +121,7 @@
     this->applyPage(page.value());
     // Changes come in bursts: after a pause, one call returns several of them.
     if (!page.value().changes.empty()) {
-        co_await this->pause(this->kind == CatalogKind::Configuration ? configurationWatchPause : endpointWatchPause);
+        co_await this->pause(this->changePause);
     }
 }
 
@@ -190,6 +189,11 @@
     }
 }
 
+void CatalogFollower::setChangePause(Duration pause)
+{
+    this->changePause = pause;
+}
+
 void CatalogFollower::skipFailover()
 {
     this->relayEndedAt = {};
--- a/Libraries/LibEntry/CatalogFollower.h
+++ b/Libraries/LibEntry/CatalogFollower.h
@@ -42,6 +42,8 @@
     bool applyRelayed(const HistoryPage &page);
     /// Sets the longest time that the store holds one watch open.
     void setWatchWait(Duration wait);
+    /// Sets the pause between an answer with changes and the next watch.
+    void setChangePause(Duration pause);
 
 private:
     void applyPage(const CatalogPage &page);
@@ -66,6 +68,7 @@
     MonotonicTime storeAnsweredAt;
     CatalogHistory recentPages;
     Duration watchWait;
+    Duration changePause;
     bool relayed = false;
     /// Whether the next changes are read from the store although a hub relays the others.
     bool readsNextFromStore = false;
--- a/Libraries/LibEntry/CatalogRelay.cpp
+++ b/Libraries/LibEntry/CatalogRelay.cpp
@@ -115,6 +115,7 @@
         this->reportUnresponsiveHub(hub);
         co_return;
     }
+    logEvent(LogLevel::Info, "relay.followed", {{"hub", toText(hub)}, {"kinds", relayed.size()}});
     this->following = true;
     this->relayedFollowers = relayed;
     for (CatalogFollower *follower : this->relayedFollowers) {
@@ -163,6 +164,7 @@
             continue;
         }
         if (frame.type == RelayFrame::Type::Withheld) {
+            logEvent(LogLevel::Info, "relay.withheld", {{"kind", catalogKindName(frame.kind)}});
             follower->readNextFromStore();
             return FrameResult::Accepted;
         }
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -36,6 +36,8 @@
 /// fit into the limit for leaving endpoints and new configurations.
 constexpr int hubWatchesPerLimit = 3;
 constexpr int hubMarginsPerLimit = 4;
+/// Pause after an answer with changes. They come in bursts, and during a release every endpoint changes: one call returns several changes.
+constexpr int changePausesPerLimit = 10;
 constexpr Duration minHubWatchWait = std::chrono::milliseconds(500);
 constexpr Duration maxHubWatchWait = std::chrono::seconds(2);
 /// Pause after a failed write of a roll-out's state.
@@ -176,6 +178,7 @@
     for (const auto &follower : this->followers) {
         const bool isRelayed = follower->objectKind() != CatalogKind::Configuration || this->peers.relaysConfiguration();
         follower->setWatchWait(isRelayed ? wait : configurationWatchWait);
+        follower->setChangePause(limit / changePausesPerLimit);
         follower->setMaxAnswerAge(isRelayed ? maxAnswerAge : Duration::max());
     }
     this->relay->setMaxStoreAnswerAge(maxAnswerAge);
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -189,6 +189,7 @@
     this->otherDomains.expire(now);
     this->directory.fleet().record(report.sender, now);
     this->directory.expire(now);
+    this->logHubRole(now);
     std::vector<HttpAddress> targets = this->seedTargets(now);
     const std::vector<std::string> hubs = this->directory.ownHubs(now);
     for (const std::string &hub : hubs) {
@@ -219,6 +220,19 @@
     }
 }
 
+void PeerExchange::logHubRole(MonotonicTime now)
+{
+    const bool isHub = this->directory.isPrimary(now);
+    if (isHub != this->wasPrimary) {
+        this->wasPrimary = isHub;
+        logEvent(LogLevel::Info,
+                 isHub ? "peer.hub_started" : "peer.hub_ended",
+                 {{"failure_domain", this->state.settings.failureDomain},
+                  {"domain_members", this->directory.ownDomainSize()},
+                  {"members", this->directory.fleet().members().size()}});
+    }
+}
+
 void PeerExchange::exchangeDomains(MonotonicTime now)
 {
     if (!this->directory.isPrimary(now)) {
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -61,6 +61,8 @@
     HttpResponse recordDomainSummary(const std::string &body);
     boost::asio::awaitable<void> sendReport(HttpAddress address, std::string body);
     boost::asio::awaitable<void> sendDomainSummary(HttpAddress address, std::string body);
+    /// Logs when this instance becomes the primary hub of its failure domain or ceases to be it.
+    void logHubRole(MonotonicTime now);
     /// Sends the sum of this failure domain's reports to the other ones if this instance is the primary hub and it is due.
     void exchangeDomains(MonotonicTime now);
     void recordPeerAnswer(const HttpAddress &address, bool isAnswered, const std::string &message, MonotonicTime now);
@@ -100,6 +102,7 @@
     MonotonicTime summaryEncodedAt;
     MonotonicTime nextReport;
     MonotonicTime nextDomainExchange;
+    bool wasPrimary = false;
     /// Newest configuration and number of bad trials in the last summary sent to other failure domains.
     ConfigurationVersion exchangedConfiguration = 0;
     std::ptrdiff_t exchangedBadTrials = 0;
