--- a/Libraries/LibEntry/CatalogRelay.cpp
+++ b/Libraries/LibEntry/CatalogRelay.cpp
@@ -1,7 +1,6 @@
 #include "LibEntry/CatalogRelay.h"
 
 #include "LibCore/Log.h"
-#include "LibHttp/ServerSentEvents.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -127,16 +126,7 @@
     // are relayed.
     while (isValid && this->chooseHub() && this->followersToRelay() == relayed) {
         const auto bytes = co_await stream.value()->readSome();
-        isValid = bytes && !bytes.value().empty();
-        const auto events = isValid ? parser.feed(bytes.value()) : ErrorOr<std::vector<ServerSentEvent>>(std::vector<ServerSentEvent>());
-        isValid = isValid && events.has_value();
-        if (!isValid) {
-            break;
-        }
-        for (const ServerSentEvent &event : events.value()) {
-            const auto frame = decodeRelayFrame(event.data);
-            isValid = isValid && frame && this->applyFrame(*frame) == FrameResult::Accepted;
-        }
+        isValid = bytes && !bytes.value().empty() && this->applyBytes(parser, bytes.value());
     }
     if (!isValid) {
         this->reportUnresponsiveHub(hub);
@@ -154,6 +144,15 @@
     return relayed;
 }
 
+bool CatalogRelay::applyBytes(ServerSentEventParser &parser, const std::string &bytes)
+{
+    const auto events = parser.feed(bytes);
+    return events && std::all_of(events.value().begin(), events.value().end(), [this](const ServerSentEvent &event) {
+               const auto frame = decodeRelayFrame(event.data);
+               return frame && this->applyFrame(*frame) == FrameResult::Accepted;
+           });
+}
+
 CatalogRelay::FrameResult CatalogRelay::applyFrame(const RelayFrame &frame)
 {
     if (frame.type == RelayFrame::Type::Alive) {
--- a/Libraries/LibEntry/CatalogRelay.h
+++ b/Libraries/LibEntry/CatalogRelay.h
@@ -5,6 +5,7 @@
 #include "LibGateway/CatalogHistory.h"
 #include "LibHttp/HttpClient.h"
 #include "LibHttp/HttpServer.h"
+#include "LibHttp/ServerSentEvents.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -54,6 +55,8 @@
     /// Waits a short time until this instance can relay; one that has just become a hub reads the store first.
     boost::asio::awaitable<bool> waitUntilRelaying(const std::vector<RelayPosition> &positions);
     std::vector<RelayPosition> requestedPositions(const HttpRequest &request) const;
+    /// Applies the frames that the next bytes of a hub's stream complete. Returns false if one is malformed or refused.
+    bool applyBytes(ServerSentEventParser &parser, const std::string &bytes);
     FrameResult applyFrame(const RelayFrame &frame);
     bool canRelay(const std::vector<RelayPosition> &positions) const;
     void endRelay();
