--- /dev/null
+++ b/Libraries/LibEntry/ConfigurationFetcher.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "LibEntry/EntryState.h"
+#include "LibHttp/HttpClient.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <string>
+
+namespace Godwitfork
+{
+
+/// Fetches a configuration from another instance if this one learns of a newer version and neither the store nor a relay delivers it in time.
+class ConfigurationFetcher
+{
+public:
+    ConfigurationFetcher(boost::asio::io_context &context, HttpClient &client, EntryState &state);
+
+    /// Fetches the version from the instance with the given peer address after a delay, unless it is in force or being fetched.
+    void fetchIfNewer(const std::string &holder, ConfigurationVersion version);
+
+private:
+    boost::asio::awaitable<void> fetch(HttpAddress address, ConfigurationVersion version);
+
+    boost::asio::io_context &context;
+    HttpClient &client;
+    EntryState &state;
+    ConfigurationVersion fetchingVersion = 0;
+};
+
+/// Path at which an instance serves its configuration to the others.
+inline constexpr const char *peerConfigurationPath = "/configuration";
+
+} // namespace Godwitfork
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -1,15 +1,12 @@
 #include "LibEntry/PeerExchange.h"
 
-#include "CatalogDecoder.h"
 #include "LibCore/Digest.h"
 #include "LibCore/Log.h"
 #include "LibEntry/CatalogChanges.h"
+#include "LibEntry/PeerCalls.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -29,52 +26,28 @@
 constexpr std::int64_t summaryBytesPerSecond = 16 * 1024;
 /// Longest interval between reports, which keeps a summary younger than `maxSummaryAge` if one report is lost.
 constexpr Duration maxReportInterval = std::chrono::milliseconds(1200);
-/// Interval of the exchange between the hubs of different failure domains.
-constexpr Duration domainExchangeInterval = std::chrono::milliseconds(500);
 /// Membership timeout: time without a report after which an instance is no longer a member.
 constexpr Duration membershipTimeout = std::chrono::seconds(5);
-/// Time for which a hub that did not answer is excluded.
-constexpr Duration hubExclusionTime = std::chrono::seconds(3);
 /// Interval between reports to a seed once other members are known.
 constexpr Duration seedReportInterval = std::chrono::seconds(2);
 /// Interval in the first seconds of the process, while the fleet may be starting and members are learned from the seeds.
 constexpr Duration initialSeedReportInterval = std::chrono::milliseconds(700);
 constexpr Duration initialPeriod = std::chrono::seconds(5);
-constexpr Duration peerTimeout = std::chrono::milliseconds(400);
-/// Time to receive a whole answer of a peer; a large configuration takes longest.
-constexpr Duration peerBodyTimeout = std::chrono::seconds(2);
-/// Time for the watch of the store or the relay to return a new configuration before it is fetched from a peer.
-constexpr Duration watchGracePeriod = std::chrono::milliseconds(500);
 /// Time for which an encoded summary is reused for all reporting instances.
 constexpr Duration summaryCacheTime = std::chrono::milliseconds(150);
-/// Age at which a summary is stale and its load is no longer counted.
-constexpr Duration maxSummaryAge = std::chrono::milliseconds(2500);
-
 constexpr const char *reportPath = "/report";
-constexpr const char *domainPath = "/domain";
 constexpr const char *relayPath = "/catalog";
 /// Smallest fleet that uses relays. In smaller ones every instance watches the store itself, which relieves the hubs.
 constexpr std::size_t minRelayedMembers = 4;
 /// Smallest fleet whose hubs relay the configuration. In smaller ones a watch by every instance costs little and spares the time to find
 /// another hub when one fails.
 constexpr std::size_t minConfigurationRelayMembers = 24;
-constexpr const char *configurationPath = "/configuration";
 
 HttpResponse refusal(int status, const std::string &code, const std::string &message)
 {
     return jsonResponse(status, nlohmann::json {{"error", {{"code", code}, {"message", message}}}}.dump());
 }
 
-HttpCallOptions peerOptions()
-{
-    HttpCallOptions options;
-    options.connectTimeout = peerTimeout;
-    options.responseTimeout = peerTimeout;
-    options.idleTimeout = peerTimeout;
-    options.tcpUserTimeout = peerTimeout;
-    options.bodyTimeout = peerBodyTimeout;
-    return options;
-}
 } // namespace
 
 PeerExchange::PeerExchange(Asio::io_context &context, HttpClient &client, EntryState &state)
@@ -88,8 +61,9 @@
           [this](HttpExchange &exchange) { return this->serve(exchange); },
           refusal)
     , board(membershipTimeout, state.settings.sessionLifetime)
-    , otherDomains(maxSummaryAge)
     , directory(toText(state.settings.peers), state.settings.failureDomain, membershipTimeout)
+    , domains(context, client, state.settings, this->board, this->directory)
+    , configurationFetcher(context, client, state)
     , startedAt(monotonicNow())
 {
 }
@@ -154,23 +128,13 @@
     return std::min(std::max(bySize, byBytes), maxReportInterval);
 }
 
-PeerSummary PeerExchange::totalSummary(MonotonicTime now) const
-{
-    PeerSummary own = this->board.summary(now);
-    own.failureDomain = this->state.settings.failureDomain;
-    PeerSummary total = this->otherDomains.total(std::move(own), now);
-    total.members = this->directory.fleet().sightings(now);
-    total.listsAllMembers = true;
-    return total;
-}
-
 void PeerExchange::tick(MonotonicTime now)
 {
     if (now - this->summaryReceivedAt > maxSummaryAge) {
         this->state.chooser.loads().setPeerUsage({}, {}, now);
         this->state.distributeUnusedRetries({}, this->liveInstanceCount());
     }
-    this->exchangeDomains(now);
+    this->domains.tick(now);
     if (now < this->nextReport && !this->hasUrgentChanges()) {
         return;
     }
@@ -186,7 +150,7 @@
     }
     this->board.expire(now);
     this->board.record(report, now);
-    this->otherDomains.expire(now);
+    this->domains.expire(now);
     this->directory.fleet().record(report.sender, now);
     this->directory.expire(now);
     this->logHubRole(now);
@@ -206,7 +170,7 @@
         const bool isPrimary = !hubs.empty() && toText(target) == hubs.front();
         if (target == this->state.settings.peers) {
             if (isPrimary) {
-                this->applySummary(this->totalSummary(now), report, now);
+                this->applySummary(this->domains.total(now), report, now);
             }
             continue;
         }
@@ -237,59 +201,15 @@
     }
 }
 
-void PeerExchange::exchangeDomains(MonotonicTime now)
-{
-    if (!this->directory.isPrimary(now)) {
-        return;
-    }
-    PeerSummary summary = this->board.summary(now);
-    const auto badTrials = std::count_if(summary.trials.begin(), summary.trials.end(), [](const TrialReport &trial) { return trial.isBad; });
-    const bool isUrgent = summary.configuration > this->exchangedConfiguration || badTrials > this->exchangedBadTrials;
-    if (now < this->nextDomainExchange && !isUrgent) {
-        return;
-    }
-    this->nextDomainExchange = now + domainExchangeInterval;
-    this->exchangedConfiguration = summary.configuration;
-    this->exchangedBadTrials = badTrials;
-    summary.failureDomain = this->state.settings.failureDomain;
-    const std::string body = encodePeerSummary(summary);
-    for (const std::string &hub : this->directory.remotePrimaries(now)) {
-        const HttpAddress address = parseHttpAddress(hub);
-        Asio::co_spawn(
-            this->context, [this, address, body]() -> Asio::awaitable<void> { co_await this->sendDomainSummary(address, body); }, Asio::detached);
-    }
-}
-
-void PeerExchange::recordPeerAnswer(const HttpAddress &address, bool isAnswered, const std::string &message, MonotonicTime now)
-{
-    const std::string peer = toText(address);
-    if (isAnswered) {
-        this->directory.include(peer);
-        return;
-    }
-    if (!this->directory.isExcluded(peer, now)) {
-        logEvent(LogLevel::Info, "peer.silent", {{"peer", peer}, {"message", message}});
-    }
-    this->directory.exclude(peer, hubExclusionTime, now);
-}
-
-Asio::awaitable<void> PeerExchange::sendDomainSummary(HttpAddress address, std::string body)
-{
-    const auto response = co_await this->client.call(address, makeRequest("POST", domainPath, std::move(body)), peerOptions());
-    const bool isAnswered = response && response.value().status == 200;
-    this->recordPeerAnswer(address, isAnswered, response ? "refused" : response.error().message, monotonicNow());
-}
-
 Asio::awaitable<void> PeerExchange::sendReport(HttpAddress address, std::string body)
 {
-    const auto response = co_await this->client.call(address, makeRequest("POST", reportPath, std::move(body)), peerOptions());
+    const auto response = co_await this->client.call(address, makeRequest("POST", reportPath, std::move(body)), peerCallOptions());
     const MonotonicTime now = monotonicNow();
     PeerLink &link = this->links[address];
     link.busy = false;
-    const bool isAnswered = response && response.value().status == 200;
-    this->recordPeerAnswer(address, isAnswered, response ? "refused" : response.error().message, now);
+    recordPeerAnswer(this->directory, address, response, now);
     // The answer is empty if no summary was requested.
-    if (!isAnswered || response.value().body.empty()) {
+    if (!isPeerAnswered(response) || response.value().body.empty()) {
         co_return;
     }
     this->summarySize = response.value().body.size();
@@ -305,7 +225,7 @@
 {
     applyLeavingEndpoints(this->state, summary.leaving);
     this->applyPlacements(summary.placements);
-    this->fetchNewerConfiguration(summary.configurationHolder, summary.configuration);
+    this->configurationFetcher.fetchIfNewer(summary.configurationHolder, summary.configuration);
     const std::size_t previous = this->directory.fleet().members().size();
     this->directory.fleet().merge(summary.members, now);
     if (!summary.listsAllMembers) {
@@ -345,48 +265,10 @@
     }
 }
 
-void PeerExchange::fetchNewerConfiguration(const std::string &holder, ConfigurationVersion version)
-{
-    // The first configuration is read from the store itself, since a peer's version may be older.
-    if (!this->state.routes || version <= this->state.routes->configuration().version || version <= this->fetchingVersion) {
-        return;
-    }
-    const HttpAddress address = parseHttpAddress(holder);
-    if (address.host.empty()) {
-        return;
-    }
-    this->fetchingVersion = version;
-    Asio::co_spawn(
-        this->context, [this, address, version]() -> Asio::awaitable<void> { co_await this->fetchConfiguration(address, version); }, Asio::detached);
-}
-
-Asio::awaitable<void> PeerExchange::fetchConfiguration(HttpAddress address, ConfigurationVersion version)
-{
-    Asio::steady_timer timer(this->context, watchGracePeriod);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
-    if (this->state.routes->configuration().version >= version) {
-        co_return;
-    }
-    const auto response = co_await this->client.call(address, makeRequest("GET", configurationPath), peerOptions());
-    if (!response || response.value().status != 200) {
-        // Allows another attempt when the next summary reports the version.
-        this->fetchingVersion = 0;
-        co_return;
-    }
-    const CatalogChange change = Platform::decodeConfigurationSource(response.value().body);
-    if (!change.object) {
-        logEvent(LogLevel::Warning, "peer.malformed", {{"peer", toText(address)}, {"message", change.problem}});
-        this->fetchingVersion = 0;
-        co_return;
-    }
-    adoptConfiguration(this->state, change, "peer", monotonicNow());
-}
-
 const std::string &PeerExchange::encodedSummary(const PeerReport &report, MonotonicTime now)
 {
     if (this->summaryBytes.empty() || now - this->summaryEncodedAt > summaryCacheTime) {
-        PeerSummary summary = this->totalSummary(now);
+        PeerSummary summary = this->domains.total(now);
         this->summaryMembersHash = fleetHash(this->directory.fleet().members());
         this->summaryBytesWithMembers = encodePeerSummary(summary);
         // A receiver with the same members needs only those that may have stopped.
@@ -444,7 +326,7 @@
         || std::any_of(trials.begin(), trials.end(), isNewlyBad)) {
         this->nextReport = std::min(this->nextReport, now);
     }
-    this->otherDomains.record(std::move(summary).value(), now);
+    this->domains.record(std::move(summary).value(), now);
     return response;
 }
 
@@ -452,7 +334,7 @@
 {
     HttpResponse response;
     const std::string path = targetPath(exchange.request().target);
-    if (path == configurationPath) {
+    if (path == peerConfigurationPath) {
         response.status = this->state.configurationSource.empty() ? 503 : 200;
         response.body = this->state.configurationSource;
     } else if (path == relayPath && this->relayHandler) {
@@ -460,7 +342,7 @@
         co_return;
     } else if (path == reportPath) {
         response = this->answerReport(exchange.request().body);
-    } else if (path == domainPath) {
+    } else if (path == domainSummaryPath) {
         response = this->recordDomainSummary(exchange.request().body);
     } else {
         response.status = 404;
@@ -502,7 +384,7 @@
 
 void PeerExchange::excludeHub(const HttpAddress &hub)
 {
-    this->directory.exclude(toText(hub), hubExclusionTime, monotonicNow());
+    excludePeer(this->directory, hub, monotonicNow());
 }
 
 void PeerExchange::setRelayHandler(HttpHandler handler)
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "LibEntry/ConfigurationFetcher.h"
+#include "LibEntry/DomainExchange.h"
 #include "LibEntry/EntryState.h"
-#include "LibGateway/DomainSummaries.h"
 #include "LibGateway/HubDirectory.h"
 #include "LibGateway/PeerReportAggregator.h"
 #include "LibHttp/HttpClient.h"
@@ -60,21 +61,14 @@
     HttpResponse answerReport(const std::string &body);
     HttpResponse recordDomainSummary(const std::string &body);
     boost::asio::awaitable<void> sendReport(HttpAddress address, std::string body);
-    boost::asio::awaitable<void> sendDomainSummary(HttpAddress address, std::string body);
     /// Logs when this instance becomes the primary hub of its failure domain or ceases to be it.
     void logHubRole(MonotonicTime now);
-    /// Sends the sum of this failure domain's reports to the other ones if this instance is the primary hub and it is due.
-    void exchangeDomains(MonotonicTime now);
-    void recordPeerAnswer(const HttpAddress &address, bool isAnswered, const std::string &message, MonotonicTime now);
-    PeerSummary totalSummary(MonotonicTime now) const;
-    boost::asio::awaitable<void> fetchConfiguration(HttpAddress address, ConfigurationVersion version);
     PeerReport makeReport(MonotonicTime now) const;
     /// Returns the seeds that get the next report besides the hubs.
     std::vector<HttpAddress> seedTargets(MonotonicTime now);
     Duration reportDelay() const;
     void applySummary(const PeerSummary &summary, const PeerReport &own, MonotonicTime now);
     void applyPlacements(const CachePlacements &placements);
-    void fetchNewerConfiguration(const std::string &holder, ConfigurationVersion version);
     /// Returns the encoded summary; omits the members if the sender has the same list.
     const std::string &encodedSummary(const PeerReport &report, MonotonicTime now);
     bool hasUrgentChanges() const;
@@ -87,8 +81,9 @@
     PeerReportAggregator board;
     HttpHandler relayHandler;
     std::map<HttpAddress, PeerLink> links;
-    DomainSummaries otherDomains;
     HubDirectory directory;
+    DomainExchange domains;
+    ConfigurationFetcher configurationFetcher;
     MonotonicTime startedAt;
     /// Number of instances in the summary in use, and the time of its arrival.
     std::size_t summaryMemberCount = 0;
@@ -101,14 +96,9 @@
     std::uint64_t summaryMembersHash = 0;
     MonotonicTime summaryEncodedAt;
     MonotonicTime nextReport;
-    MonotonicTime nextDomainExchange;
     bool wasPrimary = false;
-    /// Newest configuration and number of bad trials in the last summary sent to other failure domains.
-    ConfigurationVersion exchangedConfiguration = 0;
-    std::ptrdiff_t exchangedBadTrials = 0;
     ConfigurationVersion reportedConfiguration = 0;
     std::set<std::string> reportedBadServices;
-    ConfigurationVersion fetchingVersion = 0;
 };
 
 } // namespace Godwitfork
