--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -4,6 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+#include <cstdint>
+
 namespace Godwitfork
 {
 
@@ -12,6 +15,27 @@
 /// Time for which reports to other instances list a removed endpoint. Exceeds a store outage that affects a single instance.
 constexpr Duration departureRetention = std::chrono::seconds(15);
 
+constexpr std::int64_t unknownMilliseconds = -1;
+
+std::int64_t millisecondsSince(std::optional<MonotonicTime> time, MonotonicTime now)
+{
+    return time ? std::chrono::duration_cast<std::chrono::milliseconds>(now - *time).count() : unknownMilliseconds;
+}
+
+/// Milliseconds since this instance's copy of a kind was last confirmed; an upper bound of the delay of a change that it applies now.
+std::int64_t copyAge(const EntryState &state, CatalogKind kind, MonotonicTime now)
+{
+    const auto known = state.freshness.find(kind);
+    const bool isConfirmed = known != state.freshness.end() && known->second.confirmedAt != MonotonicTime();
+    return isConfirmed ? millisecondsSince(known->second.confirmedAt, now) : unknownMilliseconds;
+}
+
+std::int64_t openCallAge(const EntryState &state, CatalogKind kind, MonotonicTime now)
+{
+    const auto known = state.freshness.find(kind);
+    return known == state.freshness.end() ? unknownMilliseconds : millisecondsSince(known->second.callSentAt, now);
+}
+
 void logEndpointChanges(EntryState &state, const std::vector<EndpointChange> &changes)
 {
     for (const EndpointChange &change : changes) {
@@ -30,7 +54,8 @@
                   {"change", endpointChangeName(change.kind)},
                   {"service", change.endpoint.service},
                   {"version", change.endpoint.version},
-                  {"address", toText(change.endpoint.address)}});
+                  {"address", toText(change.endpoint.address)},
+                  {"copy_age_ms", copyAge(state, CatalogKind::Endpoints, monotonicNow())}});
     }
 }
 
@@ -87,7 +112,14 @@
     state.configurationSource = change.source;
     logEvent(LogLevel::Info,
              "configuration.adopted",
-             {{"version", configuration->version}, {"previous", current}, {"routes", configuration->routes.size()}, {"origin", origin}});
+             {{"version", configuration->version},
+              {"previous", current},
+              {"routes", configuration->routes.size()},
+              {"origin", origin},
+              {"copy_age_ms", copyAge(state, CatalogKind::Configuration, now)},
+              {"open_call_ms", openCallAge(state, CatalogKind::Configuration, now)},
+              {"heard_ms", millisecondsSince(state.newerConfigurationHeardAt, now)}});
+    state.newerConfigurationHeardAt.reset();
     return true;
 }
 
--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -81,7 +81,9 @@
 
 Asio::awaitable<void> CatalogFollower::listOnce()
 {
+    this->state.freshness[this->kind].callSentAt = monotonicNow();
     const auto page = co_await this->client.list(this->kind);
+    this->state.freshness[this->kind].callSentAt.reset();
     if (!page) {
         co_await this->pauseAfterFailure(page.error());
         co_return;
@@ -91,6 +93,7 @@
     this->revision = page.value().revision;
     this->listRevision = page.value().revision;
     this->recentPages.clear();
+    this->state.freshness[this->kind].confirmedAt = monotonicNow();
 }
 
 Asio::awaitable<void> CatalogFollower::watchOnce()
@@ -98,7 +101,9 @@
     this->canceller = std::make_shared<HttpCallCanceller>();
     const bool isStale = monotonicNow() - this->storeAnsweredAt > this->maxAnswerAge;
     const Duration wait = isStale ? Duration::zero() : this->watchWait;
+    this->state.freshness[this->kind].callSentAt = monotonicNow();
     const auto page = co_await this->client.watch(this->kind, *this->revision, wait, this->canceller);
+    this->state.freshness[this->kind].callSentAt.reset();
     if (this->stopped || (this->relayed && !this->readsNextFromStore)) {
         co_return;
     }
@@ -119,6 +124,7 @@
         this->readsNextFromStore = false;
     }
     this->applyPage(page.value());
+    this->state.freshness[this->kind].confirmedAt = monotonicNow();
     // Changes come in bursts: after a pause, one call returns several of them.
     if (!page.value().changes.empty()) {
         co_await this->pause(this->changePause);
--- a/Libraries/LibEntry/ConfigurationFetcher.cpp
+++ b/Libraries/LibEntry/ConfigurationFetcher.cpp
@@ -33,6 +33,9 @@
     if (!this->state.routes || version <= this->state.routes->configuration().version || version <= this->fetchingVersion) {
         return;
     }
+    if (!this->state.newerConfigurationHeardAt) {
+        this->state.newerConfigurationHeardAt = monotonicNow();
+    }
     const HttpAddress address = parseHttpAddress(holder);
     if (address.host.empty()) {
         return;
--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -54,6 +54,9 @@
     this->state->gauges.Add({{"name", "configuration_version"}}).Set(gauges.configurationVersion);
     this->state->gauges.Add({{"name", "configuration_age_seconds"}}).Set(gauges.configurationAgeSeconds);
     this->state->gauges.Add({{"name", "endpoints"}}).Set(gauges.endpoints);
+    for (const auto &[kind, age] : gauges.copyAgeSeconds) {
+        this->state->gauges.Add({{"name", kind + "_copy_age_seconds"}}).Set(age);
+    }
     this->state->gauges.Add({{"name", "ready"}}).Set(gauges.isReady ? 1 : 0);
     return prometheus::TextSerializer().Serialize(this->state->registry.Collect());
 }
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Time.h"
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -13,6 +14,8 @@
     double configurationVersion = 0;
     double configurationAgeSeconds = 0;
     double endpoints = 0;
+    /// Time since the copy of each catalog kind was last known to match the store, by kind name.
+    std::map<std::string, double> copyAgeSeconds;
     bool isReady = false;
 };
 
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -143,6 +143,9 @@
         gauges.configurationVersion = static_cast<double>(this->state.routes->configuration().version);
         gauges.configurationAgeSeconds = std::chrono::duration<double>(monotonicNow() - this->state.routesAdoptedAt).count();
     }
+    for (const auto &[kind, freshness] : this->state.freshness) {
+        gauges.copyAgeSeconds[catalogKindName(kind)] = std::chrono::duration<double>(monotonicNow() - freshness.confirmedAt).count();
+    }
     gauges.endpoints = static_cast<double>(this->state.endpoints.size());
     gauges.isReady = this->state.isReady(monotonicNow());
     return gauges;
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -3,6 +3,7 @@
 #include "LibCore/Random.h"
 #include "LibEntry/EntrySettings.h"
 #include "LibGateway/Catalog.h"
+#include "LibGateway/CatalogFreshness.h"
 #include "LibGateway/EndpointChooser.h"
 #include "LibGateway/EndpointRegistry.h"
 #include "LibGateway/ModelCascade.h"
@@ -14,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Godwitfork
@@ -40,6 +42,10 @@
     /// Retry budget of each service, by service name.
     std::map<std::string, RetryBudget> retryBudgets;
     StoreProbe storeProbe;
+    /// Freshness of this instance's copy of each catalog kind.
+    std::map<CatalogKind, CatalogFreshness> freshness;
+    /// Time at which another instance first reported a configuration newer than the one in force; empty if there is none.
+    std::optional<MonotonicTime> newerConfigurationHeardAt;
     /// Whether a relay is active or a peer summary was received within its age limit.
     bool hasPeerUpdates = false;
     RandomSource random;
