--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -18,13 +18,8 @@
 
 namespace
 {
-/// Longest time that the store holds one watch open. A shorter wait costs more store calls, a longer one detects a dead connection later.
-constexpr Duration defaultWatchWait = std::chrono::seconds(8);
 /// Interval of checks whether the store must be watched again, or whether a probe has ended.
 constexpr Duration relayCheckInterval = std::chrono::milliseconds(50);
-constexpr Duration defaultChangePause = std::chrono::milliseconds(120);
-/// Time to fail over to another hub before the store is watched directly: one retry pause and one relay connection.
-constexpr Duration relayFailoverTime = std::chrono::milliseconds(800);
 /// Longest wait for another follower's probe of the store; after it the follower calls the store itself.
 constexpr Duration maxProbeWait = std::chrono::seconds(3);
 /// Pages of changes kept for instances that follow this one; covers a few seconds of changes in a busy fleet.
@@ -33,8 +28,6 @@
 constexpr Duration minBackoff = std::chrono::milliseconds(100);
 /// Keeps the combined call rate of all instances far below the store's rate limits while the store is unavailable.
 constexpr Duration maxBackoff = std::chrono::milliseconds(800);
-/// Back-off limit while other instances report changes, so that a slower retry loses none.
-constexpr Duration maxBackoffWithPeers = std::chrono::seconds(3);
 /// Failures at most this long are interrupted watches, during which no registration expires.
 constexpr Duration outageThreshold = std::chrono::milliseconds(1500);
 /// Time after an outage during which a removal may be an expired registration of a live endpoint.
@@ -47,26 +40,20 @@
 } // namespace
 
 CatalogFollower::CatalogFollower(Asio::io_context &context, Platform::CatalogClient &client, EntryState &state, CatalogKind kind)
-    : context(context)
-    , client(client)
-    , state(state)
-    , kind(kind)
-    , recentPages(maxHistoryPages, maxHistoryBytes)
-    , watchWait(defaultWatchWait)
-    , changePause(defaultChangePause)
-    , backoff(minBackoff)
+    : context(context), client(client), state(state), kind(kind), recentPages(maxHistoryPages, maxHistoryBytes), backoff(minBackoff)
 {
 }
 
 Asio::awaitable<void> CatalogFollower::run()
 {
     while (!this->stopped) {
-        if (this->revision && !this->shouldWatchStore(monotonicNow())) {
-            co_await this->pause(relayCheckInterval);
-        } else if (this->revision) {
-            co_await this->watchOnce();
-        } else {
+        const auto wait = nextWatchWait(this->readState(), this->state.catalogLimits(), monotonicNow());
+        if (!this->revision) {
             co_await this->listOnce();
+        } else if (wait) {
+            co_await this->watchOnce(*wait);
+        } else {
+            co_await this->pause(relayCheckInterval);
         }
     }
 }
@@ -81,9 +68,10 @@
 
 Asio::awaitable<void> CatalogFollower::listOnce()
 {
-    this->state.freshness[this->kind].callSentAt = monotonicNow();
+    const MonotonicTime sentAt = monotonicNow();
+    this->freshness().callSentAt = sentAt;
     const auto page = co_await this->client.list(this->kind);
-    this->state.freshness[this->kind].callSentAt.reset();
+    this->freshness().callSentAt.reset();
     if (!page) {
         co_await this->pauseAfterFailure(page.error());
         co_return;
@@ -91,20 +79,21 @@
     this->recordSuccess();
     this->applyList(page.value());
     this->revision = page.value().revision;
-    this->listRevision = page.value().revision;
     this->recentPages.clear();
-    this->state.freshness[this->kind].confirmedAt = monotonicNow();
+    // A long list is read in several calls, and its revision is that of the first.
+    this->confirm(*this->revision, sentAt);
 }
 
-Asio::awaitable<void> CatalogFollower::watchOnce()
+Asio::awaitable<void> CatalogFollower::watchOnce(Duration wait)
 {
-    this->canceller = std::make_shared<HttpCallCanceller>();
-    const bool isStale = monotonicNow() - this->storeAnsweredAt > this->maxAnswerAge;
-    const Duration wait = isStale ? Duration::zero() : this->watchWait;
-    this->state.freshness[this->kind].callSentAt = monotonicNow();
-    const auto page = co_await this->client.watch(this->kind, *this->revision, wait, this->canceller);
-    this->state.freshness[this->kind].callSentAt.reset();
-    if (this->stopped || (this->relayed && !this->readsNextFromStore)) {
+    const auto callCanceller = std::make_shared<HttpCallCanceller>();
+    this->canceller = callCanceller;
+    const CatalogRevision requested = *this->revision;
+    this->freshness().callSentAt = monotonicNow();
+    const auto page = co_await this->client.watch(this->kind, requested, wait, callCanceller);
+    this->freshness().callSentAt.reset();
+    // A hub may have relayed changes in the meantime; applied after them, the answer would restore older states.
+    if (this->stopped || callCanceller->isCancelled() || *this->revision != requested) {
         co_return;
     }
     if (!page) {
@@ -120,20 +109,29 @@
     if (page.value().revision != *this->revision) {
         this->recentPages.add({*this->revision, page.value().revision, page.value().source});
     }
-    if (!page.value().changes.empty()) {
-        this->readsNextFromStore = false;
-    }
+    this->readsNextFromStore = false;
     this->applyPage(page.value());
-    this->state.freshness[this->kind].confirmedAt = monotonicNow();
-    // Changes come in bursts: after a pause, one call returns several of them.
+    this->confirm(*this->revision, this->storeAnsweredAt);
     if (!page.value().changes.empty()) {
-        co_await this->pause(this->changePause);
+        co_await this->pause(this->state.catalogLimits().changePause);
     }
 }
 
-bool CatalogFollower::shouldWatchStore(MonotonicTime now) const
+CatalogReadState CatalogFollower::readState() const
 {
-    return this->readsNextFromStore || (!this->relayed && now - this->relayEndedAt >= relayFailoverTime);
+    return {this->source, this->freshness(), this->failingSince.has_value(), this->readsNextFromStore};
+}
+
+CatalogFreshness &CatalogFollower::freshness() const
+{
+    return this->state.freshness[this->kind];
+}
+
+void CatalogFollower::confirm(CatalogRevision storeRevision, MonotonicTime time)
+{
+    if (this->revision && *this->revision >= storeRevision) {
+        this->freshness().confirmedAt = std::max(this->freshness().confirmedAt, time);
+    }
 }
 
 Asio::awaitable<void> CatalogFollower::pause(Duration duration)
@@ -161,48 +159,32 @@
     return this->revision;
 }
 
-CatalogRevision CatalogFollower::lastListRevision() const
-{
-    return this->listRevision;
-}
-
 MonotonicTime CatalogFollower::lastStoreAnswerTime() const
 {
     return this->storeAnsweredAt;
 }
 
-const CatalogHistory &CatalogFollower::history() const
+bool CatalogFollower::hasRecentStoreAnswer(MonotonicTime now) const
 {
-    return this->recentPages;
+    return this->revision && now - this->storeAnsweredAt < this->state.catalogLimits().maxAge;
 }
 
-void CatalogFollower::setWatchWait(Duration wait)
+const CatalogHistory &CatalogFollower::history() const
 {
-    this->watchWait = wait;
+    return this->recentPages;
 }
 
-void CatalogFollower::setRelayed(bool isRelayed)
+void CatalogFollower::setSource(CatalogSource next)
 {
-    if (this->relayed && !isRelayed) {
-        this->relayEndedAt = monotonicNow();
+    this->source = next;
+    if (next != CatalogSource::Hub) {
+        return;
     }
-    this->relayed = isRelayed;
-    if (isRelayed && this->canceller) {
+    this->state.storeProbe.release(this->kind);
+    // An overdue copy needs the answer, since the hub may be as late.
+    if (this->canceller && !nextWatchWait(this->readState(), this->state.catalogLimits(), monotonicNow())) {
         this->canceller->cancel();
     }
-    if (isRelayed) {
-        this->state.storeProbe.release(this->kind);
-    }
-}
-
-void CatalogFollower::setChangePause(Duration pause)
-{
-    this->changePause = pause;
-}
-
-void CatalogFollower::skipFailover()
-{
-    this->relayEndedAt = {};
 }
 
 void CatalogFollower::readNextFromStore()
@@ -210,20 +192,18 @@
     this->readsNextFromStore = true;
 }
 
-void CatalogFollower::setMaxAnswerAge(Duration maxAge)
-{
-    this->maxAnswerAge = maxAge;
-}
-
 bool CatalogFollower::applyRelayed(const HistoryPage &page)
 {
-    if (!this->revision || page.from > *this->revision) {
+    if (!this->revision) {
         return false;
     }
+    if (page.from > *this->revision) {
+        // The call to the store that is due returns the changes before this page and the page itself.
+        return this->readsNextFromStore;
+    }
     if (page.to <= *this->revision) {
         return true;
     }
-    this->readsNextFromStore = false;
     const auto decoded = Platform::decodeEvents(this->kind, page.body);
     if (!decoded) {
         logEvent(LogLevel::Warning, "relay.malformed", failureFields(this->kind, decoded.error()));
@@ -245,7 +225,7 @@
     }
     std::uniform_real_distribution<double> jitter(0.5, 1);
     const auto delay = std::chrono::duration_cast<Duration>(this->backoff * jitter(this->state.random));
-    this->backoff = std::min(this->backoff * 2, this->state.hasPeerUpdates ? maxBackoffWithPeers : maxBackoff);
+    this->backoff = std::min(this->backoff * 2, maxBackoff);
     co_await this->pause(delay);
 }
 
--- a/Libraries/LibEntry/CatalogRelay.cpp
+++ b/Libraries/LibEntry/CatalogRelay.cpp
@@ -28,7 +28,6 @@
 /// A follower reads larger pages from the store itself: sent to all followers, they would saturate the hub's network link.
 constexpr std::size_t maxRelayedPageBytes = std::size_t {256} * 1024;
 constexpr Duration retryPause = std::chrono::milliseconds(300);
-constexpr Duration defaultMaxStoreAnswerAge = std::chrono::milliseconds(3500);
 
 Asio::awaitable<void> pause(Asio::io_context &context, Duration duration)
 {
@@ -53,39 +52,21 @@
                            HttpClient &client,
                            std::vector<CatalogFollower *> followers,
                            std::function<std::optional<HttpAddress>()> chooseHub,
-                           std::function<bool(CatalogKind)> isRelayed,
                            std::function<void(const HttpAddress &)> reportUnresponsiveHub)
     : context(context)
     , client(client)
     , followers(std::move(followers))
-    , maxStoreAnswerAge(defaultMaxStoreAnswerAge)
     , chooseHub(std::move(chooseHub))
-    , isRelayed(std::move(isRelayed))
     , reportUnresponsiveHub(std::move(reportUnresponsiveHub))
 {
 }
 
-void CatalogRelay::setMaxStoreAnswerAge(Duration age)
+void CatalogRelay::setSources(CatalogSource source)
 {
-    this->maxStoreAnswerAge = age;
-}
-
-void CatalogRelay::endRelay()
-{
-    const bool hasOtherHub = this->chooseHub().has_value();
-    for (CatalogFollower *follower : this->relayedFollowers) {
-        follower->setRelayed(false);
-        if (!hasOtherHub) {
-            follower->skipFailover();
-        }
+    this->following = source == CatalogSource::Hub;
+    for (CatalogFollower *follower : this->followers) {
+        follower->setSource(source);
     }
-    this->relayedFollowers.clear();
-    this->following = false;
-}
-
-bool CatalogRelay::isFollowing() const
-{
-    return this->following;
 }
 
 Asio::awaitable<void> CatalogRelay::run()
@@ -97,6 +78,9 @@
         if (hub) {
             co_await this->follow(*hub);
         }
+        if (!this->chooseHub()) {
+            this->setSources(CatalogSource::Store);
+        }
         co_await pause(this->context, retryPause);
     }
 }
@@ -108,23 +92,17 @@
     options.responseTimeout = openTimeout;
     options.idleTimeout = heartbeatTimeout;
     options.tcpUserTimeout = heartbeatTimeout;
-    std::vector<CatalogFollower *> relayed = this->followersToRelay();
-    auto stream = co_await this->client.open(hub, makeRequest("GET", relayTarget(relayed)), options);
+    auto stream = co_await this->client.open(hub, makeRequest("GET", relayTarget(this->followers)), options);
     if (!stream || stream.value()->status() != 200) {
         this->reportUnresponsiveHub(hub);
         co_return;
     }
-    logEvent(LogLevel::Info, "relay.followed", {{"hub", toText(hub)}, {"kinds", relayed.size()}});
-    this->following = true;
-    this->relayedFollowers = relayed;
-    for (CatalogFollower *follower : this->relayedFollowers) {
-        follower->setRelayed(true);
-    }
+    logEvent(LogLevel::Info, "relay.followed", {{"hub", toText(hub)}});
+    this->setSources(CatalogSource::Hub);
     ServerSentEventParser parser;
     bool isValid = true;
-    // Another hub that becomes usable is no reason to switch. The stream is opened again when the fleet has grown or shrunk so that other kinds
-    // are relayed.
-    while (isValid && this->chooseHub() && this->followersToRelay() == relayed) {
+    // Another hub that becomes usable is no reason to switch.
+    while (isValid && this->chooseHub()) {
         const auto bytes = co_await stream.value()->readSome();
         isValid = bytes && !bytes.value().empty() && this->applyBytes(parser, bytes.value());
     }
@@ -132,16 +110,7 @@
         this->reportUnresponsiveHub(hub);
         logEvent(LogLevel::Info, "relay.lost", {{"hub", toText(hub)}});
     }
-    this->endRelay();
-}
-
-std::vector<CatalogFollower *> CatalogRelay::followersToRelay() const
-{
-    std::vector<CatalogFollower *> relayed;
-    std::copy_if(this->followers.begin(), this->followers.end(), std::back_inserter(relayed), [this](const CatalogFollower *follower) {
-        return this->isRelayed(follower->objectKind());
-    });
-    return relayed;
+    this->setSources(CatalogSource::NextHub);
 }
 
 bool CatalogRelay::applyBytes(ServerSentEventParser &parser, const std::string &bytes)
@@ -155,22 +124,21 @@
 
 CatalogRelay::FrameResult CatalogRelay::applyFrame(const RelayFrame &frame)
 {
-    if (frame.type == RelayFrame::Type::Alive) {
-        return FrameResult::Accepted;
-    }
-    for (CatalogFollower *follower : this->relayedFollowers) {
+    for (CatalogFollower *follower : this->followers) {
         if (follower->objectKind() != frame.kind) {
             continue;
         }
-        if (frame.type == RelayFrame::Type::Withheld) {
+        switch (frame.type) {
+        case RelayFrame::Type::Alive:
+            follower->confirm(frame.revision, monotonicNow() - frame.storeAnswerAge);
+            return FrameResult::Accepted;
+        case RelayFrame::Type::Withheld:
             logEvent(LogLevel::Info, "relay.withheld", {{"kind", catalogKindName(frame.kind)}});
             follower->readNextFromStore();
             return FrameResult::Accepted;
+        case RelayFrame::Type::Page:
+            return follower->applyRelayed(frame.page) ? FrameResult::Accepted : FrameResult::Refused;
         }
-        if (frame.type == RelayFrame::Type::Page && follower->applyRelayed(frame.page)) {
-            return FrameResult::Accepted;
-        }
-        return FrameResult::Refused;
     }
     return FrameResult::Refused;
 }
@@ -179,9 +147,8 @@
 bool CatalogRelay::canRelay(const std::vector<RelayPosition> &positions) const
 {
     const MonotonicTime now = monotonicNow();
-    return !this->following && std::all_of(positions.begin(), positions.end(), [this, now](const RelayPosition &position) {
-        return position.follower->currentRevision() && now - position.follower->lastStoreAnswerTime() < this->maxStoreAnswerAge;
-    });
+    return !this->following
+        && std::all_of(positions.begin(), positions.end(), [now](const RelayPosition &position) { return position.follower->hasRecentStoreAnswer(now); });
 }
 
 Asio::awaitable<bool> CatalogRelay::waitUntilRelaying(const std::vector<RelayPosition> &positions)
@@ -199,39 +166,48 @@
     for (CatalogFollower *follower : this->followers) {
         const std::string revision = queryValue(request.target, catalogKindName(follower->objectKind()));
         if (!revision.empty()) {
-            positions.push_back({follower, std::strtoull(revision.c_str(), nullptr, 10)});
+            positions.push_back({follower, std::strtoull(revision.c_str(), nullptr, 10), MonotonicTime()});
         }
     }
     return positions;
 }
 
-Asio::awaitable<bool> CatalogRelay::sendPages(HttpExchange &exchange, std::vector<RelayPosition> &positions)
+std::string CatalogRelay::pageFrames(RelayPosition &position) const
 {
+    const CatalogFollower &follower = *position.follower;
+    const CatalogRevision current = *follower.currentRevision();
+    if (position.revision >= current) {
+        return {};
+    }
+    const auto pages = follower.history().since(position.revision);
     std::string output;
-    for (RelayPosition &position : positions) {
-        const CatalogFollower &follower = *position.follower;
-        const auto pages = follower.history().since(position.revision);
-        if (!pages) {
-            // The history has no pages from this revision: either nothing changed since this hub's own list, or the follower is too far behind.
-            if (position.revision >= follower.lastListRevision()) {
-                continue;
-            }
-            co_return false;
-        }
-        for (const HistoryPage &page : *pages) {
-            const bool isTooLarge = page.body.size() > maxRelayedPageBytes;
-            RelayFrame frame {isTooLarge ? RelayFrame::Type::Withheld : RelayFrame::Type::Page, follower.objectKind(), {}};
-            if (!isTooLarge) {
-                frame.page = page;
-            }
-            output += formatServerSentEvent(encodeRelayFrame(frame));
-            position.revision = page.to;
+    if (!pages) {
+        return output;
+    }
+    for (const HistoryPage &page : *pages) {
+        const bool isTooLarge = page.body.size() > maxRelayedPageBytes;
+        RelayFrame frame {isTooLarge ? RelayFrame::Type::Withheld : RelayFrame::Type::Page, follower.objectKind(), {}};
+        if (!isTooLarge) {
+            frame.page = page;
         }
+        output += formatServerSentEvent(encodeRelayFrame(frame));
+        position.revision = page.to;
     }
-    if (output.empty()) {
-        co_return true;
+    return output;
+}
+
+std::string CatalogRelay::heartbeatFrame(RelayPosition &position, bool isDue, MonotonicTime now) const
+{
+    const MonotonicTime answeredAt = position.follower->lastStoreAnswerTime();
+    if (!isDue && answeredAt == position.confirmedAt) {
+        return {};
     }
-    co_return co_await exchange.writeChunk(std::move(output));
+    position.confirmedAt = answeredAt;
+    RelayFrame frame;
+    frame.kind = position.follower->objectKind();
+    frame.revision = position.revision;
+    frame.storeAnswerAge = now - answeredAt;
+    return formatServerSentEvent(encodeRelayFrame(frame));
 }
 
 Asio::awaitable<void> CatalogRelay::serve(HttpExchange &exchange)
@@ -247,14 +223,20 @@
     HttpHeaders headers;
     headers.push_back({"Content-Type", "text/event-stream"});
     bool isOpen = co_await exchange.startStream(200, std::move(headers));
-    const std::string heartbeat = formatServerSentEvent(encodeRelayFrame(RelayFrame()));
     MonotonicTime nextHeartbeat = monotonicNow();
     while (isOpen && this->canRelay(positions)) {
-        isOpen = co_await this->sendPages(exchange, positions);
         const MonotonicTime now = monotonicNow();
-        if (isOpen && now >= nextHeartbeat) {
+        const bool isHeartbeatDue = now >= nextHeartbeat;
+        std::string output;
+        for (RelayPosition &position : positions) {
+            output += this->pageFrames(position);
+            output += this->heartbeatFrame(position, isHeartbeatDue, now);
+        }
+        if (isHeartbeatDue) {
             nextHeartbeat = now + heartbeatInterval;
-            isOpen = co_await exchange.writeChunk(heartbeat);
+        }
+        if (!output.empty()) {
+            isOpen = co_await exchange.writeChunk(std::move(output));
         }
         co_await pause(this->context, relayInterval);
     }
--- a/Libraries/LibEntry/CatalogRelay.h
+++ b/Libraries/LibEntry/CatalogRelay.h
@@ -22,36 +22,35 @@
 class CatalogRelay
 {
 public:
-    /// `followers` are the kinds of object that may be relayed. `chooseHub` returns the hub to follow, or nothing if the store is to be watched
-    /// directly; `isRelayed` tells whether a kind is relayed in a fleet of the present size.
+    /// `followers` are the kinds of object that are relayed. `chooseHub` returns the hub to follow, or nothing if the store is to be watched
+    /// directly.
     CatalogRelay(boost::asio::io_context &context,
                  HttpClient &client,
                  std::vector<CatalogFollower *> followers,
                  std::function<std::optional<HttpAddress>()> chooseHub,
-                 std::function<bool(CatalogKind)> isRelayed,
                  std::function<void(const HttpAddress &)> reportUnresponsiveHub);
 
     /// Follows hubs until the process ends.
     boost::asio::awaitable<void> run();
-    bool isFollowing() const;
     /// Streams store changes to an instance that follows this one.
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
-    /// Sets the age of the last store answer up to which this instance relays changes as a hub.
-    void setMaxStoreAnswerAge(Duration age);
 
 private:
     /// Position of one kind in the stream to a follower.
     struct RelayPosition {
         CatalogFollower *follower = nullptr;
         CatalogRevision revision = 0;
+        /// Time of the last store answer that the follower was told of.
+        MonotonicTime confirmedAt;
     };
 
     enum class FrameResult { Accepted, Refused };
 
     boost::asio::awaitable<void> follow(HttpAddress hub);
-    /// Returns the followers whose kinds are relayed in a fleet of the present size.
-    std::vector<CatalogFollower *> followersToRelay() const;
-    boost::asio::awaitable<bool> sendPages(HttpExchange &exchange, std::vector<RelayPosition> &positions);
+    /// Returns the frames with the changes after a position, and advances it.
+    std::string pageFrames(RelayPosition &position) const;
+    /// Returns a heartbeat if one is due or the store has answered since the last one.
+    std::string heartbeatFrame(RelayPosition &position, bool isDue, MonotonicTime now) const;
     /// Waits a short time until this instance can relay; one that has just become a hub reads the store first.
     boost::asio::awaitable<bool> waitUntilRelaying(const std::vector<RelayPosition> &positions);
     std::vector<RelayPosition> requestedPositions(const HttpRequest &request) const;
@@ -59,16 +58,13 @@
     bool applyBytes(ServerSentEventParser &parser, const std::string &bytes);
     FrameResult applyFrame(const RelayFrame &frame);
     bool canRelay(const std::vector<RelayPosition> &positions) const;
-    void endRelay();
+    /// Sets the source of all followers after the present hub.
+    void setSources(CatalogSource source);
 
     boost::asio::io_context &context;
     HttpClient &client;
     std::vector<CatalogFollower *> followers;
-    /// Followers whose kinds the present hub relays; empty while none is followed.
-    std::vector<CatalogFollower *> relayedFollowers;
-    Duration maxStoreAnswerAge;
     std::function<std::optional<HttpAddress>()> chooseHub;
-    std::function<bool(CatalogKind)> isRelayed;
     std::function<void(const HttpAddress &)> reportUnresponsiveHub;
     bool following = false;
 };
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -30,17 +30,6 @@
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 /// Interval of checks for a settings file that changed without a signal.
 constexpr Duration settingsCheckInterval = std::chrono::seconds(5);
-/// Longest configuration watch in a fleet too small for relays. It is shorter than the store's history: a longer watch would end with "history
-/// lost" at the next change.
-constexpr Duration configurationWatchWait = std::chrono::seconds(15);
-/// A hub that has lost the store stops relaying after a watch that it did not answer and a margin. Their sum and the time to find another hub
-/// fit into the limit for leaving endpoints and new configurations.
-constexpr int hubWatchesPerLimit = 3;
-constexpr int hubMarginsPerLimit = 4;
-/// Pause after an answer with changes. They come in bursts, and during a release every endpoint changes: one call returns several changes.
-constexpr int changePausesPerLimit = 10;
-constexpr Duration minHubWatchWait = std::chrono::milliseconds(500);
-constexpr Duration maxHubWatchWait = std::chrono::seconds(2);
 /// Pause after a failed write of a roll-out's state.
 constexpr Duration rolloutWritePause = std::chrono::milliseconds(400);
 
@@ -94,13 +83,7 @@
         relayed.push_back(follower.get());
     }
     this->relay = std::make_unique<CatalogRelay>(
-        this->context,
-        this->client,
-        relayed,
-        [this] { return this->peers.relayHub(); },
-        [this](CatalogKind kind) { return kind != CatalogKind::Configuration || this->peers.relaysConfiguration(); },
-        [this](const HttpAddress &hub) { this->peers.excludeHub(hub); });
-    this->applyWatchLimits();
+        this->context, this->client, relayed, [this] { return this->peers.relayHub(); }, [this](const HttpAddress &hub) { this->peers.excludeHub(hub); });
     this->peers.setRelayHandler([this](HttpExchange &exchange) { return this->relay->serve(exchange); });
 }
 
@@ -174,20 +157,6 @@
     this->callers.setLimits(serverLimits);
 }
 
-void EntryService::applyWatchLimits()
-{
-    const Duration limit = std::min(this->state.settings.drainLimit, this->state.settings.configurationLimit);
-    const Duration wait = std::clamp(limit / hubWatchesPerLimit, minHubWatchWait, maxHubWatchWait);
-    const Duration maxAnswerAge = wait + limit / hubMarginsPerLimit;
-    for (const auto &follower : this->followers) {
-        const bool isRelayed = follower->objectKind() != CatalogKind::Configuration || this->peers.relaysConfiguration();
-        follower->setWatchWait(isRelayed ? wait : configurationWatchWait);
-        follower->setChangePause(limit / changePausesPerLimit);
-        follower->setMaxAnswerAge(isRelayed ? maxAnswerAge : Duration::max());
-    }
-    this->relay->setMaxStoreAnswerAge(maxAnswerAge);
-}
-
 void EntryService::advanceRollouts(MonotonicTime now)
 {
     for (const std::string &service : this->state.versions.evaluate()) {
@@ -231,8 +200,6 @@
 // The fixed retry allowance applies to the whole fleet, so each instance gets an equal share, and none while it knows no other.
 void EntryService::applyPeerState()
 {
-    this->state.hasPeerUpdates = this->relay->isFollowing() || this->peers.hasFreshSummary();
-    this->applyWatchLimits();
     const double share = this->peers.hasOtherMembers() ? 1.0 / this->peers.liveInstanceCount() : 0;
     this->state.setRetryAllowance(static_cast<double>(this->state.settings.retryAllowance) * share);
 }
--- a/Libraries/LibEntry/EntryService.h
+++ b/Libraries/LibEntry/EntryService.h
@@ -38,8 +38,6 @@
     boost::asio::awaitable<void> waitForStop();
     boost::asio::awaitable<void> waitForReload();
     void applyLimits();
-    /// Sets how long the store holds watches and how old an answer a hub relays.
-    void applyWatchLimits();
     void applyPeerState();
     void reloadSettings(const char *cause);
     EntryGauges gauges() const;
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -1,5 +1,7 @@
 #include "LibEntry/EntryState.h"
 
+#include <algorithm>
+
 namespace Godwitfork
 {
 
@@ -32,6 +34,11 @@
     return this->hasLoadedCatalog() && !this->versions.isAwaitingAge(now) && !this->stopping;
 }
 
+CatalogLimits EntryState::catalogLimits() const
+{
+    return Godwitfork::catalogLimits(std::min(this->settings.drainLimit, this->settings.configurationLimit));
+}
+
 void EntryState::setRetryAllowance(double allowance)
 {
     this->retryAllowance = allowance;
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -46,8 +46,6 @@
     std::map<CatalogKind, CatalogFreshness> freshness;
     /// Time at which another instance first reported a configuration newer than the one in force; empty if there is none.
     std::optional<MonotonicTime> newerConfigurationHeardAt;
-    /// Whether a relay is active or a peer summary was received within its age limit.
-    bool hasPeerUpdates = false;
     RandomSource random;
     bool stopping = false;
 
@@ -55,6 +53,8 @@
     bool hasLoadedCatalog() const;
     /// Whether new callers may be sent to this instance.
     bool isReady(MonotonicTime now) const;
+    /// Limits on the age of this instance's copy of the catalog.
+    CatalogLimits catalogLimits() const;
     RetryBudget &retryBudget(const std::string &service);
     /// Sets the retries that this instance allows each service in addition to the ratio of its requests.
     void setRetryAllowance(double allowance);
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -39,9 +39,6 @@
 constexpr const char *relayPath = "/catalog";
 /// Smallest fleet that uses relays. In smaller ones every instance watches the store itself, which relieves the hubs.
 constexpr std::size_t minRelayedMembers = 4;
-/// Smallest fleet whose hubs relay the configuration. In smaller ones a watch by every instance costs little and spares the time to find
-/// another hub when one fails.
-constexpr std::size_t minConfigurationRelayMembers = 24;
 
 HttpResponse refusal(int status, const std::string &code, const std::string &message)
 {
@@ -377,11 +374,6 @@
     return hub ? std::optional(parseHttpAddress(*hub)) : std::nullopt;
 }
 
-bool PeerExchange::relaysConfiguration() const
-{
-    return this->directory.fleet().members().size() >= minConfigurationRelayMembers;
-}
-
 void PeerExchange::excludeHub(const HttpAddress &hub)
 {
     excludePeer(this->directory, hub, monotonicNow());
@@ -392,11 +384,6 @@
     this->relayHandler = std::move(handler);
 }
 
-bool PeerExchange::hasFreshSummary() const
-{
-    return this->hasOtherMembers() && monotonicNow() - this->summaryReceivedAt < maxSummaryAge;
-}
-
 bool PeerExchange::hasOtherMembers() const
 {
     return this->directory.fleet().members().size() > 1;
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -37,16 +37,12 @@
     /// Hub through which this instance follows the store. Empty if this instance reads the store itself, the fleet is too small, the
     /// last summary is too old, or no hub is usable.
     std::optional<HttpAddress> relayHub() const;
-    /// Whether the fleet is large enough for hubs to relay the configuration too.
-    bool relaysConfiguration() const;
     /// Excludes an unresponsive hub for a fixed time.
     void excludeHub(const HttpAddress &hub);
     /// Sets the handler for relay requests to the peer listener.
     void setRelayHandler(HttpHandler handler);
     /// Whether any other instance is a known member of the fleet.
     bool hasOtherMembers() const;
-    /// Whether a summary with the peers' configuration version and leaving endpoints arrived within its age limit.
-    bool hasFreshSummary() const;
     /// Number of instances within the membership timeout, this one included; at least 1.
     int liveInstanceCount() const;
 
--- a/Libraries/LibGateway/CatalogHistory.cpp
+++ b/Libraries/LibGateway/CatalogHistory.cpp
@@ -43,6 +43,10 @@
 std::string encodeRelayFrame(const RelayFrame &frame)
 {
     nlohmann::json json = nlohmann::json::array({static_cast<int>(frame.type), static_cast<int>(frame.kind)});
+    if (frame.type == RelayFrame::Type::Alive) {
+        json.push_back(frame.revision);
+        json.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(frame.storeAnswerAge).count());
+    }
     if (frame.type == RelayFrame::Type::Page) {
         json.push_back(frame.page.from);
         json.push_back(frame.page.to);
@@ -64,6 +68,10 @@
         }
         frame.type = static_cast<RelayFrame::Type>(type);
         frame.kind = static_cast<CatalogKind>(kind);
+        if (frame.type == RelayFrame::Type::Alive) {
+            frame.revision = json.at(2).get<CatalogRevision>();
+            frame.storeAnswerAge = std::chrono::milliseconds(json.at(3).get<std::int64_t>());
+        }
         if (frame.type == RelayFrame::Type::Page) {
             frame.page = {json.at(2).get<CatalogRevision>(), json.at(3).get<CatalogRevision>(), json.at(4).get<std::string>()};
         }
--- a/Libraries/LibGateway/CatalogHistory.h
+++ b/Libraries/LibGateway/CatalogHistory.h
@@ -43,16 +43,19 @@
 /// One message of the stream that relays catalog changes to another instance.
 struct RelayFrame {
     enum class Type {
-        /// Heartbeat: the sender still receives answers from the store.
+        /// Heartbeat: the store had no change after `revision` when it last answered the sender, `storeAnswerAge` ago.
         Alive,
         Page,
-        /// The sender has a page that is too large to relay; the receiver reads it from the store.
+        /// The sender has changes that it cannot relay; the receiver reads them from the store.
         Withheld,
     };
 
     Type type = Type::Alive;
     CatalogKind kind = CatalogKind::Endpoints;
     HistoryPage page;
+    CatalogRevision revision = 0;
+    /// Sent in milliseconds.
+    Duration storeAnswerAge = Duration::zero();
 
     auto operator<=>(const RelayFrame &) const = default;
 };
