--- a/Libraries/LibEntry/CatalogRelay.cpp
+++ b/Libraries/LibEntry/CatalogRelay.cpp
@@ -181,7 +181,10 @@
     }
     const auto pages = follower.history().since(position.revision);
     std::string output;
-    if (!pages) {
+    // This instance's own history may have a gap, since it applied the changes that it received from a hub without keeping them.
+    if (!pages || pages->empty()) {
+        output = formatServerSentEvent(encodeRelayFrame({RelayFrame::Type::Withheld, follower.objectKind(), {}}));
+        position.revision = current;
         return output;
     }
     for (const HistoryPage &page : *pages) {
--- a/Tests/LibEntry/TestCatalogRelay.cpp
+++ b/Tests/LibEntry/TestCatalogRelay.cpp
@@ -281,6 +281,32 @@
     CHECK(fixture.lostHubs == 0);
 }
 
+TEST_CASE("A hub whose history does not reach a follower's revision refers it to the store", "[relay]")
+{
+    // Guards against requests to endpoints that have left (DRAIN): an instance that had followed a hub keeps no history of that time. It sent
+    // heartbeats to a follower that missed these changes, and no page.
+    RelayFixture fixture([](HttpExchange &exchange) -> Asio::awaitable<void> {
+        const RelayFrame page {RelayFrame::Type::Page, CatalogKind::Endpoints, {5, 9, R"({"events":[],"at":9})"}};
+        const std::string pageText = formatServerSentEvent(encodeRelayFrame(page));
+        co_await exchange.startStream(200, HttpHeaders());
+        bool isOpen = co_await exchange.writeChunk(pageText);
+        Asio::steady_timer timer(co_await Asio::this_coro::executor);
+        while (isOpen) {
+            isOpen = co_await exchange.writeChunk(heartbeatOfAllKinds(Duration::zero()));
+            timer.expires_after(100ms);
+            co_await timer.async_wait(Asio::use_awaitable);
+        }
+    });
+    fixture.run(300ms);
+    fixture.storeRevision = 9;
+    fixture.run(500ms);
+    fixture.hasHub = false;
+    fixture.run(1s);
+    const std::vector<RelayFrame> frames = fixture.framesFrom(5, 600ms);
+    REQUIRE(!frames.empty());
+    CHECK(frames.front().type == RelayFrame::Type::Withheld);
+}
+
 TEST_CASE("A hub that sends nothing is left", "[relay]")
 {
     // A frozen hub keeps its connections open.
