--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -30,8 +30,6 @@
 constexpr Duration maxBackoff = std::chrono::milliseconds(800);
 /// Failures at most this long are interrupted watches, during which no registration expires.
 constexpr Duration outageThreshold = std::chrono::milliseconds(1500);
-/// Time after an outage during which a removal may be an expired registration of a live endpoint.
-constexpr Duration postOutageTime = std::chrono::milliseconds(2500);
 
 nlohmann::ordered_json failureFields(CatalogKind kind, const CatalogError &error)
 {
@@ -259,8 +257,7 @@
 
 SnapshotTrust CatalogFollower::trust() const
 {
-    const bool isRecent = this->outageEndedAt != MonotonicTime() && monotonicNow() - this->outageEndedAt < postOutageTime;
-    return isRecent ? SnapshotTrust::AfterOutage : SnapshotTrust::Complete;
+    return {this->outageEndedAt};
 }
 
 void CatalogFollower::applyList(const CatalogPage &page)
--- a/Libraries/LibEntry/CatalogFollower.h
+++ b/Libraries/LibEntry/CatalogFollower.h
@@ -66,7 +66,7 @@
     std::shared_ptr<HttpCallCanceller> canceller;
     std::optional<MonotonicTime> failingSince;
     Duration backoff;
-    MonotonicTime outageEndedAt;
+    std::optional<MonotonicTime> outageEndedAt;
     bool stopped = false;
 };
 
--- a/Libraries/LibGateway/EndpointRegistry.cpp
+++ b/Libraries/LibGateway/EndpointRegistry.cpp
@@ -96,11 +96,12 @@
 // A draining endpoint that is missing has left; only a ready one may be alive and have lost its registration in the outage.
 bool EndpointRegistry::hold(Registration &registration, SnapshotTrust trust, MonotonicTime now, std::vector<EndpointChange> &changes) const
 {
-    if (trust == SnapshotTrust::Complete || registration.entry.state != EndpointState::Ready) {
+    const bool mayBeMissing = trust.outageEndedAt && now < *trust.outageEndedAt + this->reregistrationTime;
+    if (!mayBeMissing || registration.entry.state != EndpointState::Ready) {
         return false;
     }
     if (!registration.removeAt) {
-        registration.removeAt = now + this->reregistrationTime;
+        registration.removeAt = *trust.outageEndedAt + this->reregistrationTime;
         changes.push_back({EndpointChangeKind::Held, registration.entry});
     }
     return true;
--- a/Libraries/LibGateway/EndpointRegistry.h
+++ b/Libraries/LibGateway/EndpointRegistry.h
@@ -51,10 +51,12 @@
 const char *endpointChangeName(EndpointChangeKind kind);
 
 /// Whether live endpoints may be missing from the store's list.
-enum class SnapshotTrust {
-    Complete,
-    /// Registrations may have expired during a store outage; missing endpoints are kept until they had time to register again.
-    AfterOutage,
+struct SnapshotTrust {
+    /// End of the last store outage, in which registrations may have expired; empty if there was none. Missing endpoints are kept until they
+    /// had time to register again.
+    std::optional<MonotonicTime> outageEndedAt;
+
+    auto operator<=>(const SnapshotTrust &) const = default;
 };
 
 /// Endpoints of all services, built from the platform store's list of registrations and its changes.
--- a/Tests/LibGateway/TestEndpointRegistry.cpp
+++ b/Tests/LibGateway/TestEndpointRegistry.cpp
@@ -24,8 +24,8 @@
 TEST_CASE("A registration that is missing after a store outage is kept for the re-registration time", "[registry]")
 {
     EndpointRegistry registry(2s);
-    registry.replaceAll({endpoint("a"), endpoint("b")}, SnapshotTrust::Complete, start);
-    const auto held = registry.replaceAll({endpoint("a")}, SnapshotTrust::AfterOutage, start);
+    registry.replaceAll({endpoint("a"), endpoint("b")}, SnapshotTrust(), start);
+    const auto held = registry.replaceAll({endpoint("a")}, SnapshotTrust {start}, start);
     REQUIRE(held.size() == 1);
     CHECK(held[0].kind == EndpointChangeKind::Held);
     CHECK(registry.ready("pool").size() == 2);
@@ -34,11 +34,24 @@
     CHECK(registry.ready("pool").size() == 1);
 }
 
+TEST_CASE("An endpoint that leaves within the re-registration time after a store outage is kept no longer than that time", "[registry]")
+{
+    // Guards against requests to endpoints that have left (DRAIN): a removal within 2.5 s after an outage was put off by 2 s, as long as the whole limit.
+    EndpointRegistry registry(2s);
+    registry.put(endpoint("a"), start);
+    REQUIRE(registry.remove("a", SnapshotTrust {start}, start + 1500ms).size() == 1);
+    CHECK(registry.ready("pool").size() == 1);
+    CHECK(registry.expire(start + 2s).size() == 1);
+    CHECK(registry.ready("pool").empty());
+    registry.put(endpoint("b"), start);
+    CHECK(registry.remove("b", SnapshotTrust {start}, start + 2s).front().kind == EndpointChangeKind::Removed);
+}
+
 TEST_CASE("An endpoint that registers again after a store outage does not expire", "[registry]")
 {
     EndpointRegistry registry(2s);
     registry.put(endpoint("a"), start);
-    registry.remove("a", SnapshotTrust::AfterOutage, start);
+    registry.remove("a", SnapshotTrust {start}, start);
     registry.put(endpoint("a"), start);
     CHECK(registry.expire(start + 10s).empty());
     CHECK(registry.ready("pool").size() == 1);
@@ -49,7 +62,7 @@
     // An endpoint is removed without draining first, or its draining falls into a gap of the store's history.
     EndpointRegistry registry(2s);
     registry.put(endpoint("a"), start);
-    CHECK(registry.remove("a", SnapshotTrust::Complete, start).size() == 1);
+    CHECK(registry.remove("a", SnapshotTrust(), start).size() == 1);
     CHECK(registry.ready("pool").empty());
 }
 
@@ -60,7 +73,7 @@
     leaving.state = EndpointState::Draining;
     registry.put(leaving, start);
     CHECK(registry.ready("pool").empty());
-    registry.replaceAll({}, SnapshotTrust::AfterOutage, start);
+    registry.replaceAll({}, SnapshotTrust {start}, start);
     CHECK(registry.find("a") == nullptr);
 }
 
@@ -97,7 +110,7 @@
     // A registration expires in the store and returns with the same incarnation while reports of its removal are still in transit.
     EndpointRegistry registry(2s);
     registry.put(endpoint("a"), start);
-    registry.remove("a", SnapshotTrust::Complete, start + 5s);
+    registry.remove("a", SnapshotTrust(), start + 5s);
     registry.put(endpoint("a"), start + 6s);
     CHECK(registry.markLeaving("a", 1, start + 7s).empty());
     CHECK(registry.ready("pool").size() == 1);
@@ -113,7 +126,7 @@
     // that had expired in the outage: requests reached the endpoint 4.5 s after it had left.
     EndpointRegistry registry(2s);
     registry.put(endpoint("a"), start);
-    REQUIRE(registry.remove("a", SnapshotTrust::AfterOutage, start).size() == 1);
+    REQUIRE(registry.remove("a", SnapshotTrust {start}, start).size() == 1);
     REQUIRE(registry.ready("pool").size() == 1);
     CHECK(registry.markLeaving("a", 1, start + 100ms).size() == 1);
     CHECK(registry.ready("pool").empty());
@@ -125,7 +138,7 @@
     registry.put(endpoint("a"), start);
     REQUIRE(registry.findByKey(endpointKey("a")));
     CHECK(registry.findByKey(endpointKey("a"))->id == "a");
-    registry.remove("a", SnapshotTrust::Complete, start);
+    registry.remove("a", SnapshotTrust(), start);
     CHECK_FALSE(registry.findByKey(endpointKey("a")));
     CHECK_FALSE(registry.findByKey(endpointKey("b")));
 }
