--- a/Libraries/LibEntry/ConfigurationFetcher.cpp
+++ b/Libraries/LibEntry/ConfigurationFetcher.cpp
@@ -47,9 +47,12 @@
 
 Asio::awaitable<void> ConfigurationFetcher::fetch(HttpAddress address, ConfigurationVersion version)
 {
-    Asio::steady_timer timer(this->context, watchGracePeriod);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+    // An overdue copy shows that neither the store nor a hub answers, so their watches deserve no wait.
+    if (!isOverdue(this->state.freshness[CatalogKind::Configuration], this->state.catalogLimits(), monotonicNow())) {
+        Asio::steady_timer timer(this->context, watchGracePeriod);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+    }
     if (this->state.routes->configuration().version >= version) {
         co_return;
     }
--- a/Libraries/LibEntry/ConfigurationFetcher.h
+++ b/Libraries/LibEntry/ConfigurationFetcher.h
@@ -17,7 +17,8 @@
 public:
     ConfigurationFetcher(boost::asio::io_context &context, HttpClient &client, EntryState &state);
 
-    /// Fetches the version from the instance with the given peer address after a delay, unless it is in force or being fetched.
+    /// Fetches the version from the instance with the given peer address, unless it is in force or being fetched. Unless the own copy is
+    /// overdue, the watches get some time to return it first.
     void fetchIfNewer(const std::string &holder, ConfigurationVersion version);
 
 private:
