--- a/Libraries/LibEntry/DomainExchange.cpp
+++ b/Libraries/LibEntry/DomainExchange.cpp
@@ -33,13 +33,18 @@
     }
     PeerSummary summary = this->board.summary(now);
     const auto badTrials = std::count_if(summary.trials.begin(), summary.trials.end(), [](const TrialReport &trial) { return trial.isBad; });
-    const bool isUrgent = summary.configuration > this->sentConfiguration || badTrials > this->sentBadTrials;
+    std::size_t crashes = 0;
+    for (const PromptPartEvidence &evidence : summary.promptEvidence) {
+        crashes += evidence.crashes.size();
+    }
+    const bool isUrgent = summary.configuration > this->sentConfiguration || badTrials > this->sentBadTrials || crashes > this->sentCrashes;
     if (now < this->nextExchange && !isUrgent) {
         return;
     }
     this->nextExchange = now + exchangeInterval;
     this->sentConfiguration = summary.configuration;
     this->sentBadTrials = badTrials;
+    this->sentCrashes = crashes;
     summary.failureDomain = this->settings.failureDomain;
     const std::string body = encodePeerSummary(summary);
     for (const std::string &hub : this->directory.remotePrimaries(now)) {
--- a/Libraries/LibEntry/DomainExchange.h
+++ b/Libraries/LibEntry/DomainExchange.h
@@ -48,6 +48,7 @@
     /// Newest configuration and number of bad trials in the last sum sent.
     ConfigurationVersion sentConfiguration = 0;
     std::ptrdiff_t sentBadTrials = 0;
+    std::size_t sentCrashes = 0;
 };
 
 /// Path at which a hub receives the sums of other failure domains.
--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -27,6 +27,14 @@
         prometheus::BuildHistogram().Name("godwitfork_entry_request_seconds").Help("Time until the end of the answer").Register(this->registry);
     prometheus::Family<prometheus::Histogram> &firstOutput =
         prometheus::BuildHistogram().Name("godwitfork_entry_first_output_seconds").Help("Time until the first output").Register(this->registry);
+    prometheus::Family<prometheus::Counter> &promptCrashes = prometheus::BuildCounter()
+                                                                 .Name("godwitfork_entry_prompt_crashes_total")
+                                                                 .Help("Endpoints lost before they had output, by service")
+                                                                 .Register(this->registry);
+    prometheus::Family<prometheus::Counter> &promptRefusals = prometheus::BuildCounter()
+                                                                  .Name("godwitfork_entry_prompt_refusals_total")
+                                                                  .Help("Requests refused for a quarantined prompt part, by service")
+                                                                  .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &gauges =
         prometheus::BuildGauge().Name("godwitfork_entry_belief").Help("What the process believes, by name").Register(this->registry);
 };
@@ -49,6 +57,16 @@
     this->state->firstOutput.Add({{"route", route}}, latencyBuckets).Observe(toSeconds(elapsed));
 }
 
+void EntryMetrics::recordPromptCrash(const std::string &service)
+{
+    this->state->promptCrashes.Add({{"service", service}}).Increment();
+}
+
+void EntryMetrics::recordPromptRefusal(const std::string &service)
+{
+    this->state->promptRefusals.Add({{"service", service}}).Increment();
+}
+
 std::string EntryMetrics::toText(const EntryGauges &gauges)
 {
     this->state->gauges.Add({{"name", "configuration_version"}}).Set(gauges.configurationVersion);
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -30,6 +30,10 @@
 
     void recordRequest(const std::string &route, int status, bool callerGone, Duration elapsed);
     void recordFirstOutput(const std::string &route, Duration elapsed);
+    /// Counts an endpoint that was lost before it had output for a request to the service.
+    void recordPromptCrash(const std::string &service);
+    /// Counts a request to the service that was refused for a quarantined part of its prompt.
+    void recordPromptRefusal(const std::string &service);
     std::string toText(const EntryGauges &gauges);
 
 private:
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -30,6 +30,7 @@
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 /// Interval of checks for a settings file that changed without a signal.
 constexpr Duration settingsCheckInterval = std::chrono::seconds(5);
+constexpr const char *promptTrialTask = "prompt_trial";
 /// Pause after a failed write of a roll-out's state.
 constexpr Duration rolloutWritePause = std::chrono::milliseconds(400);
 
@@ -200,6 +201,7 @@
 // The fixed retry allowance applies to the whole fleet, so each instance gets an equal share, and none while it knows no other.
 void EntryService::applyPeerState()
 {
+    this->state.promptQuarantine.setTrialRank(this->peers.rankFor(promptTrialTask));
     const double share = this->peers.hasOtherMembers() ? 1.0 / this->peers.liveInstanceCount() : 0;
     this->state.setRetryAllowance(static_cast<double>(this->state.settings.retryAllowance) * share);
 }
@@ -217,6 +219,7 @@
         this->applyLimits();
         this->applyPeerState();
         this->state.versions.prune(now);
+        this->state.promptQuarantine.prune(now);
         this->advanceRollouts(now);
         this->peers.tick(now);
         if (this->state.isReady(now) != this->wasReady) {
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -8,6 +8,7 @@
 #include "LibGateway/EndpointRegistry.h"
 #include "LibGateway/ModelCascade.h"
 #include "LibGateway/PeerReport.h"
+#include "LibGateway/PromptQuarantine.h"
 #include "LibGateway/RouteTable.h"
 #include "LibGateway/StoreProbe.h"
 #include "LibGateway/VersionPolicy.h"
@@ -39,6 +40,7 @@
     std::string configurationSource;
     EndpointChooser chooser;
     ConfidenceGains confidenceGains;
+    PromptQuarantine promptQuarantine;
     /// Retry budget of each service, by service name.
     std::map<std::string, RetryBudget> retryBudgets;
     StoreProbe storeProbe;
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -91,6 +91,7 @@
         report.leaving.push_back(endpoint);
     }
     report.trials = this->state.versions.reports(now);
+    report.promptEvidence = this->state.promptQuarantine.report(now);
     return report;
 }
 
@@ -99,6 +100,9 @@
     if (this->state.routes && this->state.routes->configuration().version != this->reportedConfiguration) {
         return true;
     }
+    if (this->state.promptQuarantine.recordedCrashes() != this->reportedCrashes) {
+        return true;
+    }
     const auto &rollouts = this->state.versions.rollouts();
     return std::any_of(
         rollouts.begin(), rollouts.end(), [this](const auto &entry) { return entry.second.isBad && !this->reportedBadServices.contains(entry.first); });
@@ -140,6 +144,7 @@
     report.placements = this->state.chooser.takePlacements();
     report.fleetHash = fleetHash(this->directory.fleet().members());
     this->reportedConfiguration = report.configuration;
+    this->reportedCrashes = this->state.promptQuarantine.recordedCrashes();
     for (const TrialReport &trial : report.trials) {
         if (trial.isBad) {
             this->reportedBadServices.insert(trial.service);
@@ -222,6 +227,7 @@
 {
     applyLeavingEndpoints(this->state, summary.leaving);
     this->applyPlacements(summary.placements);
+    this->state.promptQuarantine.merge(summary.promptEvidence, now);
     this->configurationFetcher.fetchIfNewer(summary.configurationHolder, summary.configuration);
     const std::size_t previous = this->directory.fleet().members().size();
     this->directory.fleet().merge(summary.members, now);
@@ -293,6 +299,7 @@
     const bool isOwnDomain = sender.failureDomain == this->state.settings.failureDomain;
     // Another failure domain sums its reports itself; its instances report here only to learn members.
     if (isOwnDomain) {
+        this->state.promptQuarantine.merge(report.value().promptEvidence, now);
         this->board.record(report.value(), now);
     }
     const bool lacksMembers = !isOwnDomain && report.value().fleetHash != fleetHash(this->directory.fleet().members());
@@ -313,6 +320,7 @@
         return response;
     }
     this->directory.fleet().merge(summary.value().members, now);
+    this->state.promptQuarantine.merge(summary.value().promptEvidence, now);
     // A new configuration or a bad version is passed on without waiting for the next report.
     const auto isNewlyBad = [this](const TrialReport &trial) {
         const auto known = this->state.versions.rollouts().find(trial.service);
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -94,6 +94,7 @@
     MonotonicTime nextReport;
     bool wasPrimary = false;
     ConfigurationVersion reportedConfiguration = 0;
+    std::uint64_t reportedCrashes = 0;
     std::set<std::string> reportedBadServices;
 };
 
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -35,6 +35,8 @@
 /// Lower bound of the expected time, since shorter estimates vary too much to detect slow answers.
 constexpr Duration minExpectedTime = std::chrono::milliseconds(80);
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
+/// Longest time that a caller with a quarantined prompt is told to wait.
+constexpr Duration maxQuarantineRetryDelay = std::chrono::seconds(60);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
 
 std::int64_t toMilliseconds(Duration time)
@@ -67,6 +69,7 @@
         outcome.end = AttemptEnd::TimedOut;
     } else {
         outcome.end = AttemptEnd::Lost;
+        outcome.isConnectionLost = error.failure == HttpFailure::ConnectionLost;
     }
     return outcome;
 }
@@ -153,6 +156,11 @@
     this->progress.repeatRule = this->route->repeatRule;
     this->progress.attemptLimit = this->route->attemptLimit;
     recordRequest(this->state.retryBudget(this->service), this->started);
+    const auto quarantined = this->state.promptQuarantine.refusal(this->gatewayRequest.promptParts, this->started);
+    if (quarantined) {
+        co_await this->refuseQuarantined(*quarantined);
+        co_return;
+    }
     while (!this->caller->gone) {
         if (!this->startAttempt()) {
             co_await this->finish(this->progress.possibleRuns == 0 ? NextStep::RefuseNotRun : NextStep::Fail);
@@ -169,6 +177,7 @@
         this->progress = recordAttempt(this->progress, outcome);
         this->endAttempt(endpointResult(outcome));
         this->recordVersionAnswer(outcome);
+        this->recordPromptCrash(outcome);
         if (this->isEscalating) {
             this->logEscalation();
             this->isEscalating = false;
@@ -226,6 +235,41 @@
     this->hasFailedOnCandidate = this->hasFailedOnCandidate || answer.isFailure;
 }
 
+void RequestRun::recordPromptCrash(const AttemptOutcome &outcome)
+{
+    if (outcome.end != AttemptEnd::Lost || !outcome.isConnectionLost || this->currentAttempt->firstOutput || this->gatewayRequest.promptParts.empty()) {
+        return;
+    }
+    const EndpointEntry &endpoint = this->currentAttempt->choice.endpoint;
+    const MonotonicTime now = monotonicNow();
+    this->state.promptQuarantine.recordCrash(this->gatewayRequest.promptParts, crashKey(endpoint.id, endpoint.incarnation), now);
+    this->context.metrics.recordPromptCrash(this->service);
+    const auto suspect = this->state.promptQuarantine.mostSuspect(this->gatewayRequest.promptParts, now).value_or(SuspectedPart());
+    logEvent(LogLevel::Info,
+             "prompt.crash",
+             {{"request", this->gatewayRequest.id},
+              {"endpoint", endpoint.id},
+              {"part", suspect.part},
+              {"crashes", suspect.crashes},
+              {"proven", suspect.provenCrashes},
+              {"prompts", suspect.prompts}});
+}
+
+// The refusal is true for this attempt of the caller, which no endpoint has received. The caller may come back when the part is tried again.
+Asio::awaitable<void> RequestRun::refuseQuarantined(QuarantinedPart part)
+{
+    const Duration retryAfter = std::min(part.remaining, maxQuarantineRetryDelay);
+    logEvent(LogLevel::Warning,
+             "prompt.refused",
+             {{"request", this->gatewayRequest.id},
+              {"part", part.part},
+              {"crashes", part.crashes},
+              {"last_crash_ms", toMilliseconds(part.sinceLastCrash)},
+              {"retry_after_ms", toMilliseconds(retryAfter)}});
+    this->context.metrics.recordPromptRefusal(this->service);
+    co_await this->sendOwnAnswer(503, "prompt_quarantined", retryAfter);
+}
+
 ChoiceQuery RequestRun::makeQuery() const
 {
     ChoiceQuery query;
@@ -392,6 +436,7 @@
         this->streamComplete = end == RelayEnd::Complete;
         if (end == RelayEnd::Broken) {
             outcome.end = AttemptEnd::Lost;
+            outcome.isConnectionLost = this->currentAttempt->isConnectionLost;
         }
         co_return outcome;
     }
@@ -404,6 +449,7 @@
         auto bytes = co_await stream->readSome();
         if (!bytes) {
             outcome.end = AttemptEnd::Lost;
+            outcome.isConnectionLost = bytes.error().failure == HttpFailure::ConnectionLost;
             this->reason = bytes.error().message;
             co_return outcome;
         }
@@ -416,6 +462,7 @@
     this->currentAttempt->firstOutput = *this->firstOutputAt - this->currentAttempt->started;
     if (isSuccess(outcome.answer)) {
         this->recordFirstOutput(*this->firstOutputAt);
+        this->state.promptQuarantine.recordOutput(this->gatewayRequest.promptParts, *this->firstOutputAt);
     }
     this->bufferedAnswer = std::move(answer);
     co_return outcome;
@@ -434,6 +481,7 @@
             co_return RelayEnd::CallerGone;
         }
         if (!bytes) {
+            this->currentAttempt->isConnectionLost = bytes.error().failure == HttpFailure::ConnectionLost;
             this->reason = bytes.error().message;
             co_return RelayEnd::Broken;
         }
@@ -472,6 +520,7 @@
             firstEventAt = now;
             this->currentAttempt->firstOutput = now - this->currentAttempt->started;
             this->recordFirstOutput(now);
+            this->state.promptQuarantine.recordOutput(this->gatewayRequest.promptParts, now);
             if (!this->firstOutputAt) {
                 this->firstOutputAt = now;
             }
@@ -517,6 +566,7 @@
     for (const EndpointEntry *endpoint : this->candidates()) {
         means.hasEndpoint = means.hasEndpoint || !this->triedEndpoints.contains(endpoint->id);
     }
+    means.isPromptSuspect = this->state.promptQuarantine.isSuspect(this->gatewayRequest.promptParts, monotonicNow());
     means.hasBudget = hasRetry(this->state.retryBudget(this->service), monotonicNow());
     return means;
 }
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -40,6 +40,8 @@
     std::optional<Duration> firstOutput;
     /// Time of the last event, or of the attempt's start if none arrived.
     MonotonicTime lastEventAt;
+    /// Whether the endpoint closed or reset the connection before the answer was complete.
+    bool isConnectionLost = false;
 };
 
 /// Serves one request of a caller: validates it, tries endpoints, and sends the answer.
@@ -80,6 +82,9 @@
     void endAttempt(EndpointResult result);
     std::vector<const EndpointEntry *> candidates() const;
     void recordVersionAnswer(const AttemptOutcome &outcome);
+    /// Records an endpoint that was lost before it had output for this request's prompt.
+    void recordPromptCrash(const AttemptOutcome &outcome);
+    boost::asio::awaitable<void> refuseQuarantined(QuarantinedPart part);
     HttpCallOptions callOptions(Duration limit);
     RetryConditions retryMeans();
     Duration remaining() const;
--- a/Libraries/LibGateway/AttemptRules.cpp
+++ b/Libraries/LibGateway/AttemptRules.cpp
@@ -24,7 +24,7 @@
 
 bool canRetry(const RequestProgress &progress, const RetryConditions &conditions)
 {
-    return mayRunAgain(progress) && conditions.hasEndpoint && conditions.hasBudget && conditions.remaining >= minAttemptTime;
+    return mayRunAgain(progress) && conditions.hasEndpoint && conditions.hasBudget && conditions.remaining >= minAttemptTime && !conditions.isPromptSuspect;
 }
 } // namespace
 
--- a/Libraries/LibGateway/AttemptRules.h
+++ b/Libraries/LibGateway/AttemptRules.h
@@ -23,6 +23,8 @@
     AttemptEnd end = AttemptEnd::NotSent;
     /// Status and headers of the answer; valid only if `end` is `Answered`.
     AnswerMetadata answer;
+    /// Whether the connection was closed or reset before the answer was complete.
+    bool isConnectionLost = false;
 
     auto operator<=>(const AttemptOutcome &) const = default;
 };
@@ -39,11 +41,13 @@
     auto operator<=>(const RequestProgress &) const = default;
 };
 
-/// Conditions for another attempt: an endpoint that was not tried yet, a retry budget and time until the deadline.
+/// Conditions for another attempt: an endpoint that was not tried yet, a retry budget, time until the deadline, and a prompt under which
+/// endpoints do not crash.
 struct RetryConditions {
     bool hasEndpoint = false;
     bool hasBudget = false;
     Duration remaining = Duration::zero();
+    bool isPromptSuspect = false;
 
     auto operator<=>(const RetryConditions &) const = default;
 };
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -235,6 +235,41 @@
     return trials;
 }
 
+Json encodePromptEvidence(const std::vector<PromptPartEvidence> &evidence)
+{
+    Json json = Json::array();
+    for (const PromptPartEvidence &entry : evidence) {
+        Json crashes = Json::array();
+        for (const EndpointCrash &crash : entry.crashes) {
+            crashes.push_back(Json::array({crash.endpoint, crash.prompt, toMilliseconds(crash.age)}));
+        }
+        // 0 stands for no output.
+        const std::int64_t sinceOutput = entry.sinceOutput ? toMilliseconds(*entry.sinceOutput) + 1 : 0;
+        json.push_back(Json::array({entry.part, std::move(crashes), sinceOutput, entry.haveOthersOutput}));
+    }
+    return json;
+}
+
+std::vector<PromptPartEvidence> decodePromptEvidence(const Json &json)
+{
+    std::vector<PromptPartEvidence> evidence;
+    for (const Json &fields : json) {
+        PromptPartEvidence entry;
+        entry.part = fields.at(0).get<std::uint64_t>();
+        for (const Json &crash : fields.at(1)) {
+            entry.crashes.push_back(
+                {crash.at(0).get<CrashKey>(), crash.at(1).get<std::uint64_t>(), std::chrono::milliseconds(crash.at(2).get<std::int64_t>())});
+        }
+        const auto sinceOutput = fields.at(2).get<std::int64_t>();
+        if (sinceOutput > 0) {
+            entry.sinceOutput = std::chrono::milliseconds(sinceOutput - 1);
+        }
+        entry.haveOthersOutput = fields.at(3).get<bool>();
+        evidence.push_back(std::move(entry));
+    }
+    return evidence;
+}
+
 Json encodeMember(const FleetMember &member)
 {
     return Json::array({member.instance, member.address, member.capacity, member.failureDomain});
@@ -313,7 +348,8 @@
                                 encodeStatistics(report.statistics),
                                 encodePlacements(report.placements),
                                 encodeLeaving(report.leaving),
-                                encodeTrials(report.trials)}));
+                                encodeTrials(report.trials),
+                                encodePromptEvidence(report.promptEvidence)}));
 }
 
 std::string encodePeerSummary(const PeerSummary &summary)
@@ -333,7 +369,8 @@
                                 encodeStatistics(summary.statistics),
                                 encodePlacements(summary.placements),
                                 encodeLeaving(summary.leaving),
-                                encodeTrials(summary.trials)}));
+                                encodeTrials(summary.trials),
+                                encodePromptEvidence(summary.promptEvidence)}));
 }
 
 ErrorOr<PeerReport> decodePeerReport(std::string_view bytes)
@@ -349,6 +386,7 @@
         report.placements = decodePlacements(json.at(6));
         report.leaving = decodeLeaving(json.at(7));
         report.trials = decodeTrials(json.at(8));
+        report.promptEvidence = decodePromptEvidence(json.at(9));
         return report;
     });
 }
@@ -371,6 +409,7 @@
         summary.placements = decodePlacements(json.at(9));
         summary.leaving = decodeLeaving(json.at(10));
         summary.trials = decodeTrials(json.at(11));
+        summary.promptEvidence = decodePromptEvidence(json.at(12));
         return summary;
     });
 }
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -3,6 +3,7 @@
 #include "LibCore/Error.h"
 #include "LibGateway/Catalog.h"
 #include "LibGateway/DecayingSum.h"
+#include "LibGateway/PromptQuarantine.h"
 #include "LibRollout/VersionTrial.h"
 #include "LibRouting/RetryBudget.h"
 
@@ -130,6 +131,7 @@
     CachePlacements placements;
     std::vector<LeavingEndpoint> leaving;
     std::vector<TrialReport> trials;
+    std::vector<PromptPartEvidence> promptEvidence;
 
     auto operator<=>(const PeerReport &) const = default;
 };
@@ -155,6 +157,7 @@
     CachePlacements placements;
     std::vector<LeavingEndpoint> leaving;
     std::vector<TrialReport> trials;
+    std::vector<PromptPartEvidence> promptEvidence;
 
     auto operator<=>(const PeerSummary &) const = default;
 };
--- a/Libraries/LibGateway/PeerReportAggregator.cpp
+++ b/Libraries/LibGateway/PeerReportAggregator.cpp
@@ -150,6 +150,7 @@
         for (const TrialReport &trial : report.trials) {
             addTrial(summary.trials, trial, now - entry.received);
         }
+        addEvidence(summary.promptEvidence, report.promptEvidence, now - entry.received);
     }
     summary.memberCount = static_cast<std::int64_t>(summary.members.size());
     for (TrialReport &trial : summary.trials) {
@@ -188,6 +189,7 @@
     for (const TrialReport &trial : added.trials) {
         addTrial(total.trials, trial, age);
     }
+    addEvidence(total.promptEvidence, added.promptEvidence, age);
 }
 
 int memberRank(const std::vector<FleetMember> &members, const std::string &instance, const std::string &task)
--- a/Tests/LibEntry/EntryFixture.cpp
+++ b/Tests/LibEntry/EntryFixture.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 namespace Godwitfork
 {
@@ -26,6 +30,7 @@
     return response;
 }
 
+constexpr Duration resetDelay = std::chrono::milliseconds(100);
 const HttpAddress anyPort {"127.0.0.1", 0};
 } // namespace
 
@@ -58,10 +63,40 @@
 {
     this->endpoints.push_back(std::make_unique<HttpServer>(this->context, anyPort, HttpServerLimits {}, std::move(script), refusal));
     this->endpoints.back()->start();
+    this->putEntry(id, this->endpoints.back()->address());
+}
+
+void EntryFixture::addUnframedEndpoint(const std::string &id, std::string response, bool resets)
+{
+    using Tcp = Asio::ip::tcp;
+    auto acceptor = std::make_shared<Tcp::acceptor>(this->context, Tcp::endpoint(Asio::ip::make_address(anyPort.host), 0));
+    this->putEntry(id, {anyPort.host, acceptor->local_endpoint().port()});
+    Asio::co_spawn(this->context, this->serveUnframed(std::move(acceptor), std::move(response), resets), Asio::detached);
+}
+
+Asio::awaitable<void> EntryFixture::serveUnframed(std::shared_ptr<Asio::ip::tcp::acceptor> acceptor, std::string response, bool resets)
+{
+    while (true) {
+        auto socket = co_await acceptor->async_accept(Asio::use_awaitable);
+        std::string request;
+        co_await Asio::async_read_until(socket, Asio::dynamic_buffer(request), "body", Asio::use_awaitable);
+        co_await Asio::async_write(socket, Asio::buffer(response), Asio::use_awaitable);
+        if (resets) {
+            // The answer must arrive before the reset discards it.
+            Asio::steady_timer timer(this->context, resetDelay);
+            co_await timer.async_wait(Asio::use_awaitable);
+            socket.set_option(Asio::socket_base::linger(true, 0));
+        }
+        socket.close();
+    }
+}
+
+void EntryFixture::putEntry(const std::string &id, HttpAddress address)
+{
     EndpointEntry entry;
     entry.id = id;
     entry.service = "pool";
-    entry.address = this->endpoints.back()->address();
+    entry.address = std::move(address);
     entry.failureDomain = "a";
     entry.version = "v1";
     entry.slots = 8;
--- a/Tests/LibEntry/EntryFixture.h
+++ b/Tests/LibEntry/EntryFixture.h
@@ -5,6 +5,7 @@
 #include "LibHttp/HttpServer.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
 #include <memory>
@@ -24,6 +25,9 @@
 
     /// Adds a ready endpoint whose requests are handled by `script`.
     void addEndpoint(const std::string &id, EndpointScript script);
+    /// Adds a ready endpoint that answers each connection's first request with `response`, without length or chunks, and then closes the
+    /// connection, or resets it.
+    void addUnframedEndpoint(const std::string &id, std::string response, bool resets);
     void setRoute(Route route);
     /// Sends a request to the router and waits for the answer. Returns status 0 if the connection is lost.
     HttpResponse send(HttpHeaders headers);
@@ -31,6 +35,8 @@
     EntryState state;
 
 private:
+    void putEntry(const std::string &id, HttpAddress address);
+    boost::asio::awaitable<void> serveUnframed(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor, std::string response, bool resets);
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
 
     boost::asio::io_context context;
--- a/Tests/LibEntry/TestRequestRun.cpp
+++ b/Tests/LibEntry/TestRequestRun.cpp
@@ -224,3 +224,50 @@
     CHECK(floods == 2);
     CHECK(entry.state.chooser.loads().find("e1").fleetFailures(monotonicNow()).sum > 0.9);
 }
+
+namespace
+{
+HttpHeaders promptHeaders(const std::string &id, const std::string &parts)
+{
+    HttpHeaders headers = callerHeaders(id);
+    headers.push_back({"X-Prompt-Prefix", parts});
+    return headers;
+}
+
+/// Aborts a request whose prompt contains part "dead" after the head of its answer, and answers others with one event. Counts the aborts.
+EntryFixture::EndpointScript crashingOn(int *crashes)
+{
+    return [=](HttpExchange &exchange) -> awaitable<void> {
+        co_await exchange.startStream(200, validAnswerHeaders(exchange));
+        if (headerValue(exchange.request().headers, "X-Prompt-Prefix").find("dead:") != std::string::npos) {
+            ++*crashes;
+            exchange.abort();
+            co_return;
+        }
+        co_await exchange.writeChunk("id: 1\ndata: x\n\n");
+        co_await exchange.finishStream();
+    };
+}
+} // namespace
+
+TEST_CASE("A prompt part that crashes endpoints is refused before it reaches a fifth one", "[run]")
+{
+    // Guards against requests that crash one endpoint after the other (BUDGET, day tainted): each request was repeated at three endpoints.
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::ResumableStream, 3));
+    int crashes = 0;
+    for (const std::string id : {"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"}) {
+        entry.addEndpoint(id, crashingOn(&crashes));
+    }
+    for (int i = 0; i < 6; ++i) {
+        const std::string number = std::to_string(i);
+        CHECK(entry.send(promptHeaders("sound-" + number, "5a:900,a" + number + ":10")).status == 200);
+        const HttpResponse answer = entry.send(promptHeaders("dead-" + number, "5a:900,dead:300,b" + number + ":10"));
+        CHECK((answer.status == 502 || answer.status == 503));
+        if (i == 5) {
+            CHECK(answer.status == 503);
+            CHECK(std::stod(headerValue(answer.headers, "Retry-After")) >= 1);
+        }
+    }
+    CHECK(crashes <= 4);
+}
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -30,6 +30,7 @@
     trial.observations.stable = {50, 1, 0};
     trial.sessions = {{0xfedcba9876543210, "v1", 2500ms}};
     report.trials = {trial};
+    report.promptEvidence = {{0xfedcba9876543210, {{7, 0xfedcba9876543211, 350ms}, {8, 3, 0ms}}, 0ms, true}, {5, {}, std::nullopt, false}};
     return report;
 }
 } // namespace
@@ -56,6 +57,7 @@
     summary.placements = fullReport().placements;
     summary.leaving = fullReport().leaving;
     summary.trials = fullReport().trials;
+    summary.promptEvidence = fullReport().promptEvidence;
     const auto decoded = decodePeerSummary(encodePeerSummary(summary));
     REQUIRE(decoded);
     CHECK(decoded.value() == summary);
