--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -487,9 +487,14 @@
         }
         if (bytes.value().empty()) {
             this->recordOutputSpeed(events, monotonicNow() - firstEventAt);
+            if (!this->isStreamWhole(stream, splitter.hasPartialEvent(), events)) {
+                this->currentAttempt->isConnectionLost = !stream.isFramed();
+                this->reason = "stream_ended_early";
+                co_return RelayEnd::Broken;
+            }
             // A stream resumed after its last event has no events left. It is complete, and its status and headers must still be sent.
             co_await this->startAnswer(stream);
-            co_return splitter.hasPartialEvent() ? RelayEnd::Broken : RelayEnd::Complete;
+            co_return RelayEnd::Complete;
         }
         auto complete = splitter.feed(bytes.value());
         if (!complete) {
@@ -534,6 +539,14 @@
     }
 }
 
+// A stream without length and chunks ends with its connection, which also closes if the endpoint crashes. Without a single event, unless it was
+// resumed after its last one, it was broken off.
+bool RequestRun::isStreamWhole(const HttpResponseStream &stream, bool hasPartialEvent, std::int64_t events) const
+{
+    const bool isResumed = this->lastEventId || this->gatewayRequest.resumeAfter;
+    return !hasPartialEvent && (stream.isFramed() || events > 0 || isResumed);
+}
+
 Asio::awaitable<void> RequestRun::startAnswer(HttpResponseStream &stream)
 {
     if (this->answerStarted) {
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -85,6 +85,7 @@
     /// Records an endpoint that was lost before it had output for this request's prompt.
     void recordPromptCrash(const AttemptOutcome &outcome);
     boost::asio::awaitable<void> refuseQuarantined(QuarantinedPart part);
+    bool isStreamWhole(const HttpResponseStream &stream, bool hasPartialEvent, std::int64_t events) const;
     HttpCallOptions callOptions(Duration limit);
     RetryConditions retryMeans();
     Duration remaining() const;
--- a/Tests/LibEntry/TestRequestRun.cpp
+++ b/Tests/LibEntry/TestRequestRun.cpp
@@ -248,6 +248,9 @@
         co_await exchange.finishStream();
     };
 }
+
+const std::string unframedHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\nX-Response-Signature: signed\r\nContent-Type: text/event-stream\r\n\r\n";
+const std::string twoEvents = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
 } // namespace
 
 TEST_CASE("A prompt part that crashes endpoints is refused before it reaches a fifth one", "[run]")
@@ -271,3 +274,53 @@
     }
     CHECK(crashes <= 4);
 }
+
+TEST_CASE("A stream without length or chunks is complete when its connection closes after an event", "[run]")
+{
+    // Guards against LOST and ORDER: a stream may end with its connection.
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::Stream, 1));
+    entry.addUnframedEndpoint("e1", unframedHead + twoEvents, false);
+    const HttpResponse answer = entry.send(callerHeaders("id1"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == twoEvents);
+}
+
+TEST_CASE("A stream without length or chunks that ends inside an event, or is reset, is resumed and not finished as complete", "[run]")
+{
+    // Guards against ORDER: only whole events may reach the caller, and an answer that ended early must not look complete.
+    const bool resets = GENERATE(false, true);
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::ResumableStream, 3));
+    entry.addUnframedEndpoint("e1", unframedHead + twoEvents + (resets ? "" : "id: 3\nda"), resets);
+    entry.addEndpoint("e2", streamOf(1, 4, true));
+    const HttpResponse answer = entry.send(callerHeaders("id1"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == twoEvents + "id: 3\ndata: x\n\nid: 4\ndata: x\n\n");
+}
+
+TEST_CASE("A stream without length or chunks that closes before its first event is attempted again", "[run]")
+{
+    // Guards against an empty answer that looks complete: an endpoint that crashes as it begins to write closes its connection too.
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::ResumableStream, 3));
+    entry.addUnframedEndpoint("e1", unframedHead, false);
+    entry.addUnframedEndpoint("e2", unframedHead + twoEvents, false);
+    const HttpResponse answer = entry.send(callerHeaders("id1"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == twoEvents);
+}
+
+TEST_CASE("A plain answer without length is delivered whole, and one that is reset is not", "[run]")
+{
+    // Guards against MIXED: such an answer ends with its connection, and one that is reset on the way is not complete.
+    const bool resets = GENERATE(false, true);
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::NonIdempotent, 1));
+    entry.addUnframedEndpoint("e1", unframedHead + std::string(900, 'y'), resets);
+    const HttpResponse answer = entry.send(callerHeaders("id1"));
+    CHECK(answer.status == (resets ? 502 : 200));
+    if (!resets) {
+        CHECK(answer.body == std::string(900, 'y'));
+    }
+}
