--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -160,8 +160,20 @@
 
 void EntryService::advanceRollouts(MonotonicTime now)
 {
-    for (const std::string &service : this->state.versions.evaluate()) {
-        logEvent(LogLevel::Warning, "rollout.found_bad", {{"service", service}, {"target", this->state.versions.rollouts().at(service).order.target}});
+    for (const std::string &service : this->state.versions.evaluate(now)) {
+        const FollowedRollout &rollout = this->state.versions.rollouts().at(service);
+        const TrialTotals totals = this->state.versions.trialTotals(service);
+        const Slowdown difference = slowdown(totals.candidate.times, totals.stable.times).value_or(Slowdown());
+        logEvent(LogLevel::Warning,
+                 "rollout.found_bad",
+                 {{"service", service},
+                  {"target", rollout.order.target},
+                  {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - rollout.startedAt).count()},
+                  {"answers", totals.candidate.answers},
+                  {"failures", totals.candidate.failures},
+                  {"slow", totals.candidate.slow},
+                  {"log_slowdown", difference.difference},
+                  {"log_error", difference.error}});
     }
     if (this->isWritingRollout) {
         return;
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -30,10 +30,10 @@
 constexpr Duration answerMargin = std::chrono::milliseconds(10);
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
-/// Ratio of actual to expected time to first output above which an answer counts as slow.
-constexpr int slowAnswerFactor = 3;
-/// Lower bound of the expected time, since shorter estimates vary too much to detect slow answers.
-constexpr Duration minExpectedTime = std::chrono::milliseconds(80);
+/// Lower bound of the expected time to which an answer's time is related.
+constexpr Duration minNominalTime = std::chrono::milliseconds(25);
+/// Events after which the time of a stream is recorded, so that a slow version is found before its streams end.
+constexpr std::int64_t timedEvents = 6;
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 /// Longest time that a caller with a quarantined prompt is told to wait.
 constexpr Duration maxQuarantineRetryDelay = std::chrono::seconds(60);
@@ -225,16 +225,46 @@
     }
     const MonotonicTime now = monotonicNow();
     this->state.versions.recordSession(this->service, this->gatewayRequest.session, endpoint.version, now);
-    AnswerObservation answer;
-    answer.route = this->route->name;
-    answer.endpoint = endpoint.id;
+    if (outcome.end == AttemptEnd::Answered && isSuccess(outcome.answer)) {
+        this->recordVersionTime();
+    }
+    AnswerObservation answer = this->versionAnswer();
     answer.isFailure = outcome.end != AttemptEnd::Answered || !isSuccess(outcome.answer);
-    const Duration expected = std::max(this->currentAttempt->choice.typicalFirstOutput, minExpectedTime);
-    answer.isSlow = this->currentAttempt->firstOutput && *this->currentAttempt->firstOutput > expected * slowAnswerFactor;
     this->state.versions.recordAnswer(this->service, endpoint.version, answer);
     this->hasFailedOnCandidate = this->hasFailedOnCandidate || answer.isFailure;
 }
 
+AnswerObservation RequestRun::versionAnswer() const
+{
+    AnswerObservation answer;
+    answer.route = this->route->name;
+    answer.endpoint = this->currentAttempt->choice.endpoint.id;
+    return answer;
+}
+
+void RequestRun::recordVersionTime()
+{
+    if (this->currentAttempt->isTimeRecorded) {
+        return;
+    }
+    this->currentAttempt->isTimeRecorded = true;
+    Duration expected = std::max(this->currentAttempt->choice.nominalFirstOutput, minNominalTime);
+    const ServiceProperties *properties = this->routes->findService(this->service);
+    if (properties && properties->engine && this->currentAttempt->events > 1) {
+        const std::int64_t tokens = (this->currentAttempt->events - 1) * properties->engine->tokensPerEvent;
+        expected += this->state.chooser.speeds().outputTime(this->service, this->currentAttempt->query.model, tokens);
+    }
+    const Duration elapsed = monotonicNow() - this->currentAttempt->started;
+    const double relativeTime = static_cast<double>(elapsed.count()) / static_cast<double>(expected.count());
+    this->state.versions.recordAnswerTime(this->service, this->currentAttempt->choice.endpoint.version, this->versionAnswer(), relativeTime);
+}
+
+ObservationUse RequestRun::observationUse() const
+{
+    const bool isTrial = this->state.versions.isCandidate(this->service, this->currentAttempt->choice.endpoint.version);
+    return isTrial ? ObservationUse::Endpoint : ObservationUse::Service;
+}
+
 void RequestRun::recordPromptCrash(const AttemptOutcome &outcome)
 {
     if (outcome.end != AttemptEnd::Lost || !outcome.isConnectionLost || this->currentAttempt->firstOutput || this->gatewayRequest.promptParts.empty()) {
@@ -429,7 +459,9 @@
     outcome.answer = Platform::readAnswer(stream->status(), stream->headers());
     if (isStream(this->route->repeatRule) && isSuccess(outcome.answer)) {
         if (this->escalate(outcome.answer)) {
-            this->recordFirstOutput(monotonicNow());
+            const MonotonicTime now = monotonicNow();
+            this->currentAttempt->firstOutput = now - this->currentAttempt->started;
+            this->recordFirstOutput(now);
             co_return outcome;
         }
         const RelayEnd end = co_await this->relay(*stream);
@@ -507,6 +539,10 @@
         }
         std::string output;
         events += static_cast<std::int64_t>(complete.value().size());
+        this->currentAttempt->events = events;
+        if (events >= timedEvents) {
+            this->recordVersionTime();
+        }
         for (const RawEvent &event : complete.value()) {
             if (event.id && this->lastEventId && *event.id <= *this->lastEventId) {
                 continue;
@@ -560,13 +596,13 @@
 void RequestRun::recordFirstOutput(MonotonicTime now)
 {
     this->state.chooser.recordFirstOutput(
-        this->currentAttempt->ticket, this->currentAttempt->query, this->currentAttempt->choice, this->currentAttempt->started, now);
+        this->currentAttempt->ticket, this->currentAttempt->query, this->currentAttempt->choice, this->currentAttempt->started, now, this->observationUse());
 }
 
 void RequestRun::recordOutputSpeed(std::int64_t events, Duration elapsed)
 {
     const ServiceProperties *properties = this->routes->findService(this->service);
-    if (properties && properties->engine && events > 1) {
+    if (properties && properties->engine && events > 1 && this->observationUse() == ObservationUse::Service) {
         const std::int64_t tokens = (events - 1) * properties->engine->tokensPerEvent;
         this->state.chooser.speeds().recordOutput(this->service, this->currentAttempt->query.model, tokens, elapsed);
     }
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -40,6 +40,9 @@
     std::optional<Duration> firstOutput;
     /// Time of the last event, or of the attempt's start if none arrived.
     MonotonicTime lastEventAt;
+    std::int64_t events = 0;
+    /// Whether the time of the answer was recorded as an observation of the endpoint's version.
+    bool isTimeRecorded = false;
     /// Whether the endpoint closed or reset the connection before the answer was complete.
     bool isConnectionLost = false;
 };
@@ -82,6 +85,10 @@
     void endAttempt(EndpointResult result);
     std::vector<const EndpointEntry *> candidates() const;
     void recordVersionAnswer(const AttemptOutcome &outcome);
+    /// Records how long the answer has taken so far as an observation of the endpoint's version, once for each attempt.
+    void recordVersionTime();
+    AnswerObservation versionAnswer() const;
+    ObservationUse observationUse() const;
     /// Records an endpoint that was lost before it had output for this request's prompt.
     void recordPromptCrash(const AttemptOutcome &outcome);
     boost::asio::awaitable<void> refuseQuarantined(QuarantinedPart part);
--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -94,7 +94,6 @@
     const double serviceSlowdown = this->endpointLoads.meanSlowdown(query.service, now);
     const double priorWeight = priorObservations * std::chrono::duration<double>(choice.nominalFirstOutput).count();
     choice.firstOutput = scaled(choice.nominalFirstOutput, meanWithPrior(load.firstOutputTimes.valueAt(now), serviceSlowdown, priorWeight));
-    choice.typicalFirstOutput = scaled(choice.nominalFirstOutput, serviceSlowdown);
     return choice;
 }
 
@@ -159,15 +158,20 @@
     return std::exchange(this->unreportedPlacements, {});
 }
 
-void EndpointChooser::recordFirstOutput(LoadTicket &ticket, const ChoiceQuery &query, const EndpointChoice &choice, MonotonicTime started, MonotonicTime now)
+void EndpointChooser::recordFirstOutput(LoadTicket &ticket,
+                                        const ChoiceQuery &query,
+                                        const EndpointChoice &choice,
+                                        MonotonicTime started,
+                                        MonotonicTime now,
+                                        ObservationUse use)
 {
     const EndpointLoad &load = this->endpointLoads.find(ticket.endpoint);
     const bool wasQueueEmpty = load.waitingPromptTime() <= ticket.expectedPrompt;
-    if (!query.model.empty()) {
+    if (!query.model.empty() && use == ObservationUse::Service) {
         const PromptQueue queue = wasQueueEmpty ? PromptQueue::Empty : PromptQueue::Possible;
         this->engineSpeeds.recordPrompt(query.service, query.model, choice.uncachedTokens, now - started, queue);
     }
-    this->endpointLoads.recordFirstOutput(ticket, now - started, choice.nominalFirstOutput, now);
+    this->endpointLoads.recordFirstOutput(ticket, now - started, choice.nominalFirstOutput, now, use);
 }
 
 void EndpointChooser::end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now)
--- a/Libraries/LibGateway/EndpointChooser.h
+++ b/Libraries/LibGateway/EndpointChooser.h
@@ -36,8 +36,6 @@
     Duration firstOutput = Duration::zero();
     /// Expected time until the first output if the endpoint had nominal speed.
     Duration nominalFirstOutput = Duration::zero();
-    /// Expected time until the first output if the endpoint had the present mean slowdown of the service's endpoints.
-    Duration typicalFirstOutput = Duration::zero();
     std::int64_t uncachedTokens = 0;
     /// Hash of the prompt prefix that other requests share; empty if the prefix is too short for cache affinity.
     std::optional<std::uint64_t> sharedPrefixKey;
@@ -58,7 +56,13 @@
 
     /// Records that the request is sent to the chosen endpoint.
     LoadTicket begin(const ChoiceQuery &query, const EndpointChoice &choice);
-    void recordFirstOutput(LoadTicket &ticket, const ChoiceQuery &query, const EndpointChoice &choice, MonotonicTime started, MonotonicTime now);
+    /// `use` tells whether the time is an observation of the service's usual speed.
+    void recordFirstOutput(LoadTicket &ticket,
+                           const ChoiceQuery &query,
+                           const EndpointChoice &choice,
+                           MonotonicTime started,
+                           MonotonicTime now,
+                           ObservationUse use = ObservationUse::Service);
     void end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now);
     /// Records prompt parts that an engine has read and probably cached. `memoryTokens` is the capacity of the engine's
     /// key-value cache in tokens.
--- a/Libraries/LibGateway/EndpointLoads.cpp
+++ b/Libraries/LibGateway/EndpointLoads.cpp
@@ -75,7 +75,7 @@
     return {endpoint.id, endpoint.service, expectedPrompt, true};
 }
 
-void EndpointLoads::recordFirstOutput(LoadTicket &ticket, Duration elapsed, Duration expected, MonotonicTime now)
+void EndpointLoads::recordFirstOutput(LoadTicket &ticket, Duration elapsed, Duration expected, MonotonicTime now, ObservationUse use)
 {
     EndpointLoad &load = this->loads[endpointKey(ticket.endpoint)];
     if (ticket.isWaiting) {
@@ -88,6 +88,9 @@
     const double expectedSeconds = toSeconds(expected);
     const ObservationSum observation {std::min(toSeconds(elapsed), expectedSeconds * maxSlowdown), expectedSeconds};
     load.firstOutputTimes.add(observation, now);
+    if (use == ObservationUse::Endpoint) {
+        return;
+    }
     DecayingStatistics &serviceStatistics = this->statistics[ticket.service];
     serviceStatistics.slowdown.add(observation, now);
     serviceStatistics.promptWaits.add({toSeconds(std::max(Duration::zero(), elapsed - ticket.expectedPrompt)), 1}, now);
--- a/Libraries/LibGateway/EndpointLoads.h
+++ b/Libraries/LibGateway/EndpointLoads.h
@@ -26,6 +26,14 @@
     Ended,
 };
 
+/// Which averages an observation of an endpoint's speed updates.
+enum class ObservationUse {
+    /// The endpoint's and the service's.
+    Service,
+    /// Only the endpoint's; a version under trial is compared with the service's averages.
+    Endpoint,
+};
+
 /// Load and health of one incarnation of an endpoint.
 struct EndpointLoad {
     EndpointLoad();
@@ -75,7 +83,7 @@
 public:
     LoadTicket begin(const EndpointEntry &endpoint, Duration expectedPrompt);
     /// Records the time until the first output; `expected` is the time at an endpoint of nominal speed.
-    void recordFirstOutput(LoadTicket &ticket, Duration elapsed, Duration expected, MonotonicTime now);
+    void recordFirstOutput(LoadTicket &ticket, Duration elapsed, Duration expected, MonotonicTime now, ObservationUse use = ObservationUse::Service);
     void recordOutput(const std::string &endpoint, MonotonicTime now);
     void end(const LoadTicket &ticket, EndpointResult result, MonotonicTime now);
 
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -27,12 +27,13 @@
 
 Json encodeCounts(const AnswerCounts &counts)
 {
-    return Json::array({counts.answers, counts.failures, counts.slow});
+    return Json::array({counts.answers, counts.failures, counts.slow, counts.times.answers, counts.times.logSum, counts.times.logSquareSum});
 }
 
 AnswerCounts decodeCounts(const Json &json)
 {
-    return {json.at(0).get<std::int64_t>(), json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>()};
+    const auto field = [&json](std::size_t index) { return json.at(index).get<std::int64_t>(); };
+    return {field(0), field(1), field(2), {field(3), field(4), field(5)}};
 }
 
 Json encodeCountMap(const std::map<std::string, AnswerCounts> &map)
@@ -80,8 +81,9 @@
                         trial.isBad,
                         encodeCountMap(trial.observations.candidateByRoute),
                         encodeCountMap(trial.observations.candidateByEndpoint),
-                        encodeCounts(trial.observations.stable),
-                        encodePins(trial.sessions)});
+                        encodeCountMap(trial.observations.stableByRoute),
+                        encodePins(trial.sessions),
+                        trial.isAccepted});
 }
 
 TrialReport decodeTrial(const Json &json)
@@ -98,8 +100,9 @@
     trial.isBad = json.at(4).get<bool>();
     trial.observations.candidateByRoute = decodeCountMap(json.at(5));
     trial.observations.candidateByEndpoint = decodeCountMap(json.at(6));
-    trial.observations.stable = decodeCounts(json.at(7));
+    trial.observations.stableByRoute = decodeCountMap(json.at(7));
     trial.sessions = decodePins(json.at(8));
+    trial.isAccepted = json.at(9).get<bool>();
     return trial;
 }
 
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -91,6 +91,8 @@
     Duration age = Duration::zero();
     /// Whether the target version was found bad.
     bool isBad = false;
+    /// Whether the last step was taken.
+    bool isAccepted = false;
     TrialObservations observations;
     /// Open sessions that a draw would assign to the target version in the first half of the roll-out.
     std::vector<SessionPin> sessions;
--- a/Libraries/LibGateway/PeerReportAggregator.cpp
+++ b/Libraries/LibGateway/PeerReportAggregator.cpp
@@ -48,22 +48,31 @@
     known->state = std::max(known->state, current.state);
     known->age = std::max(known->age, current.age);
     known->isBad = known->isBad || current.isBad;
+    known->isAccepted = known->isAccepted || current.isAccepted;
     known->observations += current.observations;
     addPins(known->sessions, current.sessions);
 }
 
-/// Keeps the endpoints with failures or slow answers. Of the others two are kept, as evidence that the version runs on more endpoints.
+/// Keeps the endpoints with failures or slow answers, or with a mean time above the expected one. Of the others two are kept, as evidence that the version runs
+/// on more endpoints.
 void dropHealthyEndpoints(std::map<std::string, AnswerCounts> &endpoints)
 {
     constexpr int keptHealthy = 2;
     int healthy = 0;
-    std::erase_if(endpoints, [&](const auto &entry) { return entry.second.failures == 0 && entry.second.slow == 0 && ++healthy > keptHealthy; });
+    std::erase_if(endpoints, [&](const auto &entry) {
+        return entry.second.failures == 0 && entry.second.slow == 0 && entry.second.times.logSum <= 0 && ++healthy > keptHealthy;
+    });
 }
 
 AnswerCounts difference(const AnswerCounts &total, const AnswerCounts &own)
 {
     const auto part = [](std::int64_t whole, std::int64_t less) { return std::max<std::int64_t>(0, whole - less); };
-    return {part(total.answers, own.answers), part(total.failures, own.failures), part(total.slow, own.slow)};
+    // The sums of logarithms may be negative; they are consistent only as long as the total includes the own answers.
+    RelativeTimes times;
+    if (total.times.answers > own.times.answers) {
+        times = {total.times.answers - own.times.answers, total.times.logSum - own.times.logSum, part(total.times.logSquareSum, own.times.logSquareSum)};
+    }
+    return {part(total.answers, own.answers), part(total.failures, own.failures), part(total.slow, own.slow), times};
 }
 
 std::map<std::string, AnswerCounts> difference(const std::map<std::string, AnswerCounts> &total, const std::map<std::string, AnswerCounts> &own)
@@ -230,7 +239,7 @@
 {
     return {difference(total.candidateByRoute, own.candidateByRoute),
             difference(total.candidateByEndpoint, own.candidateByEndpoint),
-            difference(total.stable, own.stable)};
+            difference(total.stableByRoute, own.stableByRoute)};
 }
 
 } // namespace Godwitfork
--- a/Libraries/LibGateway/VersionPolicy.cpp
+++ b/Libraries/LibGateway/VersionPolicy.cpp
@@ -93,7 +93,7 @@
     if (!maySessionsMove(this->limits(rollout), age) && (version || (hasSession && this->isExchangePending(rollout, now)))) {
         return false;
     }
-    return query.draw < candidateShare(this->limits(rollout), age);
+    return query.draw < candidateShare(this->limits(rollout), age, rollout.isAccepted);
 }
 
 std::vector<const EndpointEntry *> VersionPolicy::filter(const VersionQuery &query, std::vector<const EndpointEntry *> endpoints, MonotonicTime now) const
@@ -139,14 +139,36 @@
     Godwitfork::recordAnswer(known->second.own, answer);
 }
 
+void VersionPolicy::recordAnswerTime(const std::string &service, const std::string &version, AnswerObservation answer, double relativeTime)
+{
+    const auto known = this->followed.find(service);
+    if (known == this->followed.end() || !isRunning(known->second.order.state) || known->second.isAccepted) {
+        return;
+    }
+    answer.isCandidate = version == known->second.order.target;
+    Godwitfork::recordAnswerTime(known->second.own, answer, relativeTime);
+}
+
+bool VersionPolicy::isCandidate(const std::string &service, const std::string &version) const
+{
+    const auto known = this->followed.find(service);
+    return known != this->followed.end() && isRunning(known->second.order.state) && !known->second.isAccepted && known->second.order.target == version;
+}
+
+TrialTotals VersionPolicy::trialTotals(const std::string &service) const
+{
+    const auto known = this->followed.find(service);
+    return known == this->followed.end() ? TrialTotals() : totals(allObservations(known->second));
+}
+
 std::vector<TrialReport> VersionPolicy::reports(MonotonicTime now) const
 {
     std::vector<TrialReport> reports;
     for (const auto &[service, rollout] : this->followed) {
-        TrialReport report {service, rollout.order.target, rollout.order.state, now - rollout.startedAt, rollout.isBad, rollout.own, {}};
+        TrialReport report {service, rollout.order.target, rollout.order.state, now - rollout.startedAt, rollout.isBad, rollout.isAccepted, rollout.own, {}};
         const TrialLimits trialLimits = this->limits(rollout);
         if (isRunning(rollout.order.state) && !maySessionsMove(trialLimits, report.age)) {
-            report.sessions = this->sessions.pins(service, candidateShare(trialLimits, report.age), now);
+            report.sessions = this->sessions.pins(service, candidateShare(trialLimits, report.age, rollout.isAccepted), now);
         }
         reports.push_back(std::move(report));
     }
@@ -168,20 +190,25 @@
         this->sessions.recordReported(report.service, pin, now);
     }
     rollout.isBad = rollout.isBad || report.isBad;
+    rollout.isAccepted = rollout.isAccepted || report.isAccepted;
     // An instance that cannot reach the store receives the end of a roll-out from its peers.
     if (isRunning(rollout.order.state) && !isRunning(report.state)) {
         rollout.order.state = report.state;
     }
 }
 
-std::vector<std::string> VersionPolicy::evaluate()
+std::vector<std::string> VersionPolicy::evaluate(MonotonicTime now)
 {
     std::vector<std::string> found;
     for (auto &[service, rollout] : this->followed) {
         if (rollout.isBad || !isRunning(rollout.order.state)) {
             continue;
         }
-        if (isCandidateBad(allObservations(rollout))) {
+        const TrialObservations observations = allObservations(rollout);
+        const TrialDecision decision =
+            rollout.isAccepted ? TrialDecision::Continue : decideTrial(this->limits(rollout), now - rollout.startedAt, trialEvidence(observations));
+        rollout.isAccepted = rollout.isAccepted || decision == TrialDecision::Accept;
+        if (decision == TrialDecision::Reject || isCandidateBad(observations)) {
             rollout.isBad = true;
             found.push_back(service);
         }
--- a/Libraries/LibGateway/VersionPolicy.h
+++ b/Libraries/LibGateway/VersionPolicy.h
@@ -29,6 +29,8 @@
     TrialObservations others;
     /// Whether any instance found the target version bad.
     bool isBad = false;
+    /// Whether an instance took the last step, after which the stable versions have no requests to compare the candidate with.
+    bool isAccepted = false;
     /// Time since which the instance has a new state of the roll-out to write.
     std::optional<MonotonicTime> writeDueSince;
 };
@@ -74,8 +76,14 @@
     std::vector<TrialReport> reports(MonotonicTime now) const;
     /// Replaces the observations of the other instances and merges the sessions, age, state and result of the trial that they report.
     void mergeOthers(const TrialReport &report, MonotonicTime now);
+    /// Records how long an answer took relative to the expected time, until the candidate of the service is accepted.
+    void recordAnswerTime(const std::string &service, const std::string &version, AnswerObservation answer, double relativeTime);
+    /// Whether the version is under trial and was not accepted yet.
+    bool isCandidate(const std::string &service, const std::string &version) const;
     /// Evaluates all running trials and returns the services whose candidate was found bad by this call.
-    std::vector<std::string> evaluate();
+    std::vector<std::string> evaluate(MonotonicTime now);
+    /// Sums of the answers of a service's trial over all instances.
+    TrialTotals trialTotals(const std::string &service) const;
     /// Returns the state of a running roll-out to write to the store now; empty if there is none. `rank` is the instance's position among
     /// the possible writers: each one waits longer than the one before, and writes only if the earlier ones have not.
     std::optional<RolloutState> stateToWrite(const std::string &service, int stableRequestsRunning, int rank, MonotonicTime now);
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -25,9 +25,10 @@
     trial.target = "v2";
     trial.state = RolloutState::InProgress;
     trial.age = 1500ms;
-    trial.observations.candidateByRoute["r"] = {5, 1, 2};
+    trial.isAccepted = true;
+    trial.observations.candidateByRoute["r"] = {5, 1, 2, {5, 2500, 4000}};
     trial.observations.candidateByEndpoint["e1"] = {5, 1, 2};
-    trial.observations.stable = {50, 1, 0};
+    trial.observations.stableByRoute["r"] = {50, 1, 0, {48, -1200, 30500}};
     trial.sessions = {{0xfedcba9876543210, "v1", 2500ms}};
     report.trials = {trial};
     report.promptEvidence = {{0xfedcba9876543210, {{7, 0xfedcba9876543211, 350ms}, {8, 3, 0ms}}, 0ms, true}, {5, {}, std::nullopt, false}};
--- a/Tests/LibGateway/TestVersionPolicy.cpp
+++ b/Tests/LibGateway/TestVersionPolicy.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+#include <random>
+
 #include <algorithm>
 
 using namespace Godwitfork;
@@ -94,8 +97,8 @@
     for (int i = 0; i < 6; ++i) {
         policy.recordAnswer("pool", "v2", failure("v2-" + std::to_string(i % 2)));
     }
-    CHECK(policy.evaluate().size() == 1);
-    CHECK(policy.evaluate().empty());
+    CHECK(policy.evaluate(start).size() == 1);
+    CHECK(policy.evaluate(start).empty());
     CHECK(usesVersion(policy.filter({"pool", "", 0, false}, pool.all(), start + 1s), "v1"));
     pool.entries.erase(pool.entries.begin(), pool.entries.begin() + 3);
     CHECK(policy.filter({"pool", "", 0, false}, pool.all(), start + 1s).empty());
@@ -107,7 +110,7 @@
     VersionPolicy policy(exposure, 5s);
     policy.setOrder(order(), start);
     policy.recordAnswer("pool", "v2", failure("v2-0"));
-    CHECK(policy.evaluate().empty());
+    CHECK(policy.evaluate(start).empty());
     TrialReport others;
     others.service = "pool";
     others.target = "v2";
@@ -117,11 +120,11 @@
     policy.mergeOthers(others, start);
     // A repeated report counts once.
     policy.mergeOthers(others, start);
-    CHECK(policy.evaluate().empty());
+    CHECK(policy.evaluate(start).empty());
     others.observations.candidateByRoute["r"] = {3, 3, 0};
     others.observations.candidateByEndpoint["v2-1"] = {3, 3, 0};
     policy.mergeOthers(others, start);
-    CHECK(policy.evaluate().size() == 1);
+    CHECK(policy.evaluate(start).size() == 1);
 }
 
 TEST_CASE("A single faulty endpoint does not make its version bad", "[versions]")
@@ -134,7 +137,7 @@
         good.isFailure = false;
         policy.recordAnswer("pool", "v2", good);
     }
-    CHECK(policy.evaluate().empty());
+    CHECK(policy.evaluate(start).empty());
 }
 
 TEST_CASE("A roll-out completes once no request runs on the stable version or its time is nearly over", "[versions]")
@@ -182,7 +185,7 @@
     CHECK(usesVersion(policy.filter({"pool", "s", 0.99, true}, pool.all(), start + 4s), "v2"));
     // Two failures in two answers: the candidate is suspected, though it cannot be found bad yet.
     policy.recordAnswer("pool", "v2", failure("v2-0"));
-    CHECK(policy.evaluate().empty());
+    CHECK(policy.evaluate(start).empty());
     CHECK(usesVersion(policy.filter({"pool", "s", 0.99, true}, pool.all(), start + 4s), "v1"));
 }
 
@@ -234,3 +237,78 @@
     policy.setOrder({"pool", "v3", 20s, RolloutState::InProgress, 9}, start + 2s, OrderOrigin::Change);
     CHECK_FALSE(policy.isAwaitingAge(start + 2s));
 }
+
+namespace
+{
+constexpr Duration trialTime = 15s;
+constexpr Duration trialStep = 20ms;
+constexpr double requestsPerSecond = 25;
+constexpr int exposureTolerance = 30;
+constexpr double slowFactor = 8;
+constexpr double sharedEngineFactor = 1.5;
+
+/// A slow candidate takes eight times as long for half of its answers; the others wait for the steps of the engine that they share with these.
+enum class Candidate { Sound, Slow };
+
+struct TrialResult {
+    int requests = 0;
+    int onCandidate = 0;
+    bool isBad = false;
+    bool isAccepted = false;
+};
+
+TrialResult runTrial(Candidate candidate, std::uint64_t seed)
+{
+    const Pool pool;
+    std::mt19937_64 random(seed);
+    std::normal_distribution<double> stableTime(0, 0.9);
+    std::normal_distribution<double> candidateTime(-0.6, 0.5);
+    std::uniform_real_distribution<double> share(0, 1);
+    VersionPolicy policy(exposure, 5s);
+    policy.setOrder({"pool", "v2", trialTime, RolloutState::InProgress, 5}, start);
+    TrialResult result;
+    for (MonotonicTime now = start; now < start + trialTime; now += trialStep) {
+        result.isBad = result.isBad || !policy.evaluate(now).empty();
+        if (share(random) > requestsPerSecond * std::chrono::duration<double>(trialStep).count()) {
+            continue;
+        }
+        ++result.requests;
+        const auto endpoints = policy.filter({"pool", "s" + std::to_string(result.requests), share(random), false}, pool.all(), now);
+        const EndpointEntry &endpoint = *endpoints[random() % endpoints.size()];
+        AnswerObservation answer = failure(endpoint.id);
+        answer.isFailure = false;
+        double logarithm = stableTime(random);
+        if (endpoint.version == "v2") {
+            ++result.onCandidate;
+            const bool isSlow = candidate == Candidate::Slow && share(random) < 0.5;
+            const double factor = candidate == Candidate::Sound ? 1 : (isSlow ? slowFactor : sharedEngineFactor);
+            logarithm = candidateTime(random) + std::log(factor);
+        }
+        policy.recordAnswer("pool", endpoint.version, answer);
+        policy.recordAnswerTime("pool", endpoint.version, answer, std::exp(logarithm));
+    }
+    result.isAccepted = policy.rollouts().at("pool").isAccepted;
+    return result;
+}
+} // namespace
+
+TEST_CASE("A version that answers several times slower is taken back before most requests run on it", "[versions]")
+{
+    // Guards against EXPOSURE (day hasty): the roll-out went on by time alone, and the slow answers raised the time that was expected of them.
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        INFO("seed " << seed);
+        const TrialResult result = runTrial(Candidate::Slow, seed);
+        CHECK(result.isBad);
+        CHECK(result.onCandidate <= exposure * result.requests + exposureTolerance);
+    }
+}
+
+TEST_CASE("A sound version with few requests is accepted", "[versions]")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        INFO("seed " << seed);
+        const TrialResult result = runTrial(Candidate::Sound, seed);
+        CHECK_FALSE(result.isBad);
+        CHECK(result.isAccepted);
+    }
+}
