--- a/Libraries/LibPeer/CborDepth.cpp
+++ b/Libraries/LibCore/CborDepth.cpp
@@ -1,5 +1,7 @@
-#include "LibPeer/PeerMessage.h"
+#include "LibCore/CborDepth.h"
 
+#include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace Godwitfork
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -1,7 +1,7 @@
 #include "LibGateway/PeerReport.h"
 
+#include "LibCore/CborDepth.h"
 #include "LibCore/Digest.h"
-#include "LibPeer/PeerMessage.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Libraries/LibPeer/PeerHandshake.cpp
+++ b/Libraries/LibPeer/PeerHandshake.cpp
@@ -1,5 +1,6 @@
 #include "LibPeer/PeerHandshake.h"
 
+#include "LibCore/CborDepth.h"
 #include "LibCore/Digest.h"
 #include "LibPeer/PeerMessage.h"
 
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -114,8 +114,4 @@
 /// are not a valid message. Fields after the known ones are ignored, so that a later release may append fields.
 ErrorOr<std::optional<PeerMessage>> decodePeerMessage(std::string_view bytes);
 
-/// Whether the bytes are exactly one CBOR data item, without indefinite lengths and tags, nested at most `maxDepth` deep. The
-/// CBOR parser of nlohmann-json recurses once per level, so that a short message could otherwise overflow the stack.
-bool isCborWithinDepth(std::string_view bytes, int maxDepth);
-
 } // namespace Godwitfork
