--- a/Libraries/LibGateway/VersionPolicy.cpp
+++ b/Libraries/LibGateway/VersionPolicy.cpp
@@ -93,7 +93,7 @@
     if (!maySessionsMove(this->limits(rollout), age) && (version || (hasSession && this->isExchangePending(rollout, now)))) {
         return false;
     }
-    return query.draw < candidateShare(this->limits(rollout), age, rollout.isAccepted);
+    return query.draw < candidateShare(this->limits(rollout), age, rollout.progress);
 }
 
 std::vector<const EndpointEntry *> VersionPolicy::filter(const VersionQuery &query, std::vector<const EndpointEntry *> endpoints, MonotonicTime now) const
@@ -142,7 +142,7 @@
 void VersionPolicy::recordAnswerTime(const std::string &service, const std::string &version, AnswerObservation answer, double relativeTime)
 {
     const auto known = this->followed.find(service);
-    if (known == this->followed.end() || !isRunning(known->second.order.state) || known->second.isAccepted) {
+    if (known == this->followed.end() || !isRunning(known->second.order.state) || known->second.progress.isAccepted) {
         return;
     }
     answer.isCandidate = version == known->second.order.target;
@@ -152,7 +152,7 @@
 bool VersionPolicy::isCandidate(const std::string &service, const std::string &version) const
 {
     const auto known = this->followed.find(service);
-    return known != this->followed.end() && isRunning(known->second.order.state) && !known->second.isAccepted && known->second.order.target == version;
+    return known != this->followed.end() && isRunning(known->second.order.state) && !known->second.progress.isAccepted && known->second.order.target == version;
 }
 
 TrialTotals VersionPolicy::trialTotals(const std::string &service) const
@@ -165,10 +165,11 @@
 {
     std::vector<TrialReport> reports;
     for (const auto &[service, rollout] : this->followed) {
-        TrialReport report {service, rollout.order.target, rollout.order.state, now - rollout.startedAt, rollout.isBad, rollout.isAccepted, rollout.own, {}};
+        TrialReport report {
+            service, rollout.order.target, rollout.order.state, now - rollout.startedAt, rollout.isBad, rollout.progress.isAccepted, rollout.own, {}};
         const TrialLimits trialLimits = this->limits(rollout);
         if (isRunning(rollout.order.state) && !maySessionsMove(trialLimits, report.age)) {
-            report.sessions = this->sessions.pins(service, candidateShare(trialLimits, report.age, rollout.isAccepted), now);
+            report.sessions = this->sessions.pins(service, candidateShare(trialLimits, report.age, rollout.progress), now);
         }
         reports.push_back(std::move(report));
     }
@@ -190,7 +191,7 @@
         this->sessions.recordReported(report.service, pin, now);
     }
     rollout.isBad = rollout.isBad || report.isBad;
-    rollout.isAccepted = rollout.isAccepted || report.isAccepted;
+    rollout.progress.isAccepted = rollout.progress.isAccepted || report.isAccepted;
     // An instance that cannot reach the store receives the end of a roll-out from its peers.
     if (isRunning(rollout.order.state) && !isRunning(report.state)) {
         rollout.order.state = report.state;
@@ -205,9 +206,10 @@
             continue;
         }
         const TrialObservations observations = allObservations(rollout);
+        rollout.progress.isExposureUsed = isExposureUsed(this->limits(rollout), observations);
         const TrialDecision decision =
-            rollout.isAccepted ? TrialDecision::Continue : decideTrial(this->limits(rollout), now - rollout.startedAt, trialEvidence(observations));
-        rollout.isAccepted = rollout.isAccepted || decision == TrialDecision::Accept;
+            rollout.progress.isAccepted ? TrialDecision::Continue : decideTrial(this->limits(rollout), now - rollout.startedAt, trialEvidence(observations));
+        rollout.progress.isAccepted = rollout.progress.isAccepted || decision == TrialDecision::Accept;
         if (decision == TrialDecision::Reject || isCandidateBad(observations)) {
             rollout.isBad = true;
             found.push_back(service);
--- a/Libraries/LibGateway/VersionPolicy.h
+++ b/Libraries/LibGateway/VersionPolicy.h
@@ -29,8 +29,7 @@
     TrialObservations others;
     /// Whether any instance found the target version bad.
     bool isBad = false;
-    /// Whether an instance took the last step, after which the stable versions have no requests to compare the candidate with.
-    bool isAccepted = false;
+    TrialProgress progress;
     /// Time since which the instance has a new state of the roll-out to write.
     std::optional<MonotonicTime> writeDueSince;
 };
--- a/Libraries/LibRollout/VersionTrial.cpp
+++ b/Libraries/LibRollout/VersionTrial.cpp
@@ -32,10 +32,13 @@
 /// candidate has fewer requests in progress than the stable versions and is therefore faster if it is sound.
 constexpr double clearSlowdown = 0.5;
 constexpr double suspectSlowdown = 0.15;
+/// Difference that is certain in a large fleet, with many answers (1.28 times).
+constexpr double certainSlowdown = 0.25;
 /// Part of a difference that a single endpoint with its few answers must show to count as affected.
 constexpr double endpointSlowdownShare = 0.3;
 /// Differences in standard errors. Evidence is looked at many times, so the first is high.
 constexpr double clearErrors = 4;
+constexpr double certainErrors = 6;
 constexpr double suspectErrors = 1;
 constexpr double soundErrors = 2;
 /// Lower bound of the variance of few answers, whose own variance is uncertain.
@@ -50,6 +53,8 @@
 /// order for the trial at different times.
 constexpr double secondStepStart = 0.53;
 constexpr double secondStepShare = 0.3;
+/// Part of `TrialLimits::exposureShare` of all answers that the candidate has before its share may not grow; the rest is for requests in progress.
+constexpr double exposureUseFactor = 0.7;
 constexpr double lastStepStart = 0.61;
 constexpr double earliestCompletion = 0.72;
 constexpr double decisionTime = 0.75;
@@ -241,7 +246,7 @@
     }
     return (failsAtSeveralEndpoints(observations) && (failsOnRoute || isFailing(all.candidate, all.stable)))
         || (isSlowAtSeveralEndpoints && (isSlowOnRoute || isSlow(all.candidate, all.stable)))
-        || isSlowerAtSeveralEndpoints(observations, clearSlowdown, clearErrors);
+        || isSlowerAtSeveralEndpoints(observations, clearSlowdown, clearErrors) || isSlowerAtSeveralEndpoints(observations, certainSlowdown, certainErrors);
 }
 
 bool isCandidateSuspect(const TrialObservations &observations)
@@ -275,13 +280,20 @@
     return isAsFast ? TrialEvidence::Sound : TrialEvidence::Undecided;
 }
 
-double candidateShare(const TrialLimits &limits, Duration age, bool isAccepted)
+double candidateShare(const TrialLimits &limits, Duration age, const TrialProgress &progress)
 {
     const double elapsed = elapsedFraction(limits, age);
-    if (isAccepted || elapsed >= decisionTime) {
+    if (progress.isAccepted || elapsed >= decisionTime) {
         return 1;
     }
-    return elapsed >= secondStepStart ? secondStepShare : limits.exposureShare * firstHalfExposureFactor;
+    return elapsed >= secondStepStart && !progress.isExposureUsed ? secondStepShare : limits.exposureShare * firstHalfExposureFactor;
+}
+
+bool isExposureUsed(const TrialLimits &limits, const TrialObservations &observations)
+{
+    const TrialTotals all = totals(observations);
+    const auto answers = static_cast<double>(all.candidate.answers + all.stable.answers);
+    return static_cast<double>(all.candidate.answers) > limits.exposureShare * exposureUseFactor * answers;
 }
 
 TrialDecision decideTrial(const TrialLimits &limits, Duration age, TrialEvidence evidence)
--- a/Libraries/LibRollout/VersionTrial.h
+++ b/Libraries/LibRollout/VersionTrial.h
@@ -109,10 +109,22 @@
     double exposureShare = 0.1;
 };
 
+struct TrialProgress {
+    /// Whether an instance took the last step, after which the stable versions have no requests to compare the candidate with.
+    bool isAccepted = false;
+    /// See `isExposureUsed`.
+    bool isExposureUsed = false;
+
+    auto operator<=>(const TrialProgress &) const = default;
+};
+
 /// Share of the sessions that run on the candidate at the trial's age, 0 to 1. It is constant for the first half of the time limit, so
-/// that no session changes its version, and then grows in two steps. The last one is taken once the candidate is accepted, at the latest when
-/// a decision is due.
-double candidateShare(const TrialLimits &limits, Duration age, bool isAccepted);
+/// that no session changes its version, and then grows in two steps. The first one is put off while the candidate has had its share of the
+/// answers, the last one is taken once it is accepted, at the latest when a decision is due.
+double candidateShare(const TrialLimits &limits, Duration age, const TrialProgress &progress);
+
+/// Whether the candidate has had so many of the answers that its share must not grow before it is accepted.
+bool isExposureUsed(const TrialLimits &limits, const TrialObservations &observations);
 
 enum class TrialDecision {
     /// The trial goes on at the present share.
--- a/Tests/LibGateway/TestVersionPolicy.cpp
+++ b/Tests/LibGateway/TestVersionPolicy.cpp
@@ -287,7 +287,7 @@
         policy.recordAnswer("pool", endpoint.version, answer);
         policy.recordAnswerTime("pool", endpoint.version, answer, std::exp(logarithm));
     }
-    result.isAccepted = policy.rollouts().at("pool").isAccepted;
+    result.isAccepted = policy.rollouts().at("pool").progress.isAccepted;
     return result;
 }
 } // namespace
--- a/Tests/LibRollout/TestVersionTrial.cpp
+++ b/Tests/LibRollout/TestVersionTrial.cpp
@@ -67,8 +67,33 @@
     CHECK(decideTrial(limits, 13s, suspect) == TrialDecision::Continue);
     CHECK(decideTrial(limits, 15s, TrialEvidence::Undecided) == TrialDecision::Accept);
     CHECK(decideTrial(limits, 15s, suspect) == TrialDecision::Reject);
-    CHECK(candidateShare(limits, 13s, false) < 1);
-    CHECK(candidateShare(limits, 13s, true) == 1);
+    CHECK(candidateShare(limits, 13s, TrialProgress()) < 1);
+    CHECK(candidateShare(limits, 13s, {true, false}) == 1);
+}
+
+TEST_CASE("The share of a candidate does not grow while it has had its share of the answers", "[trial]")
+{
+    // Guards against EXPOSURE on large fleets (kwh-godwit-grown, day hasty-any, seed 725399679459: 470 of 4,456 requests, 464 allowed).
+    TrialObservations observations;
+    for (int i = 0; i < 1000; ++i) {
+        AnswerObservation answer;
+        answer.route = "r";
+        answer.endpoint = "e1";
+        answer.isCandidate = i % 10 == 0;
+        recordAnswer(observations, answer);
+    }
+    CHECK_FALSE(isExposureUsed(limits, observations));
+    CHECK(isExposureUsed({20s, 0.12}, observations));
+    CHECK(candidateShare(limits, 11s, {false, true}) == candidateShare(limits, 9s, {false, true}));
+    CHECK(candidateShare(limits, 11s, {false, false}) > candidateShare(limits, 9s, {false, false}));
+    CHECK(candidateShare(limits, 13s, {true, true}) == 1);
+}
+
+TEST_CASE("Many answers make a smaller slowdown certain", "[trial]")
+{
+    // Guards against EXPOSURE on large fleets: the version took 1.6 times as long, by more than seven standard errors, and went on until the decision.
+    CHECK(isCandidateBad(observationsOf(300, 1.5)));
+    CHECK_FALSE(isCandidateBad(observationsOf(8, 1.5)));
 }
 
 TEST_CASE("Sums of relative times are the same in any order of addition", "[trial]")
