--- a/Libraries/LibCore/Time.cpp
+++ b/Libraries/LibCore/Time.cpp
@@ -13,4 +13,9 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
 }
 
+std::int64_t toMilliseconds(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 } // namespace Godwitfork
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace Godwitfork
 {
@@ -16,4 +17,7 @@
 MonotonicTime monotonicNow();
 WallTime wallNow();
 
+/// Whole milliseconds of a duration, rounded towards zero.
+std::int64_t toMilliseconds(Duration time);
+
 } // namespace Godwitfork
--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -4,7 +4,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <chrono>
 #include <cstdint>
 
 namespace Godwitfork
@@ -19,7 +18,7 @@
 
 std::int64_t millisecondsSince(std::optional<MonotonicTime> time, MonotonicTime now)
 {
-    return time ? std::chrono::duration_cast<std::chrono::milliseconds>(now - *time).count() : unknownMilliseconds;
+    return time ? toMilliseconds(now - *time) : unknownMilliseconds;
 }
 
 /// Milliseconds since this instance's copy of a kind was last confirmed; an upper bound of the delay of a change that it applies now.
--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -250,9 +250,7 @@
         this->outageEndedAt = now;
     }
     this->failingSince.reset();
-    logEvent(LogLevel::Info,
-             "store.regained",
-             {{"kind", catalogKindName(this->kind)}, {"outage_ms", std::chrono::duration_cast<std::chrono::milliseconds>(outage).count()}});
+    logEvent(LogLevel::Info, "store.regained", {{"kind", catalogKindName(this->kind)}, {"outage_ms", toMilliseconds(outage)}});
 }
 
 SnapshotTrust CatalogFollower::trust() const
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -168,7 +168,7 @@
                  "rollout.found_bad",
                  {{"service", service},
                   {"target", rollout.order.target},
-                  {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - rollout.startedAt).count()},
+                  {"age_ms", toMilliseconds(now - rollout.startedAt)},
                   {"answers", totals.candidate.answers},
                   {"failures", totals.candidate.failures},
                   {"slow", totals.candidate.slow},
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -30,20 +30,11 @@
 constexpr Duration answerMargin = std::chrono::milliseconds(10);
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
-/// Lower bound of the expected time to which an answer's time is related.
-constexpr Duration minNominalTime = std::chrono::milliseconds(25);
 /// Events after which the time of a stream is recorded, so that a slow version is found before its streams end.
 constexpr std::int64_t timedEvents = 6;
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
-/// Longest time that a caller with a quarantined prompt is told to wait.
-constexpr Duration maxQuarantineRetryDelay = std::chrono::seconds(60);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
 
-std::int64_t toMilliseconds(Duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 std::string withoutPort(const std::string &host)
 {
     return host.substr(0, host.find(':'));
@@ -217,89 +208,6 @@
     return this->state.versions.filter(query, this->state.endpoints.ready(this->service), monotonicNow());
 }
 
-void RequestRun::recordVersionAnswer(const AttemptOutcome &outcome)
-{
-    const EndpointEntry &endpoint = this->currentAttempt->choice.endpoint;
-    if (!mayHaveRun(outcome)) {
-        return;
-    }
-    const MonotonicTime now = monotonicNow();
-    this->state.versions.recordSession(this->service, this->gatewayRequest.session, endpoint.version, now);
-    if (outcome.end == AttemptEnd::Answered && isSuccess(outcome.answer)) {
-        this->recordVersionTime();
-    }
-    AnswerObservation answer = this->versionAnswer();
-    answer.isFailure = outcome.end != AttemptEnd::Answered || !isSuccess(outcome.answer);
-    this->state.versions.recordAnswer(this->service, endpoint.version, answer);
-    this->hasFailedOnCandidate = this->hasFailedOnCandidate || answer.isFailure;
-}
-
-AnswerObservation RequestRun::versionAnswer() const
-{
-    AnswerObservation answer;
-    answer.route = this->route->name;
-    answer.endpoint = this->currentAttempt->choice.endpoint.id;
-    return answer;
-}
-
-void RequestRun::recordVersionTime()
-{
-    if (this->currentAttempt->isTimeRecorded) {
-        return;
-    }
-    this->currentAttempt->isTimeRecorded = true;
-    Duration expected = std::max(this->currentAttempt->choice.nominalFirstOutput, minNominalTime);
-    const ServiceProperties *properties = this->routes->findService(this->service);
-    if (properties && properties->engine && this->currentAttempt->events > 1) {
-        const std::int64_t tokens = (this->currentAttempt->events - 1) * properties->engine->tokensPerEvent;
-        expected += this->state.chooser.speeds().outputTime(this->service, this->currentAttempt->query.model, tokens);
-    }
-    const Duration elapsed = monotonicNow() - this->currentAttempt->started;
-    const double relativeTime = static_cast<double>(elapsed.count()) / static_cast<double>(expected.count());
-    this->state.versions.recordAnswerTime(this->service, this->currentAttempt->choice.endpoint.version, this->versionAnswer(), relativeTime);
-}
-
-ObservationUse RequestRun::observationUse() const
-{
-    const bool isTrial = this->state.versions.isCandidate(this->service, this->currentAttempt->choice.endpoint.version);
-    return isTrial ? ObservationUse::Endpoint : ObservationUse::Service;
-}
-
-void RequestRun::recordPromptCrash(const AttemptOutcome &outcome)
-{
-    if (outcome.end != AttemptEnd::Lost || !outcome.isConnectionLost || this->currentAttempt->firstOutput || this->gatewayRequest.promptParts.empty()) {
-        return;
-    }
-    const EndpointEntry &endpoint = this->currentAttempt->choice.endpoint;
-    const MonotonicTime now = monotonicNow();
-    this->state.promptQuarantine.recordCrash(this->gatewayRequest.promptParts, crashKey(endpoint.id, endpoint.incarnation), now);
-    this->context.metrics.recordPromptCrash(this->service);
-    const auto suspect = this->state.promptQuarantine.mostSuspect(this->gatewayRequest.promptParts, now).value_or(SuspectedPart());
-    logEvent(LogLevel::Info,
-             "prompt.crash",
-             {{"request", this->gatewayRequest.id},
-              {"endpoint", endpoint.id},
-              {"part", suspect.part},
-              {"crashes", suspect.crashes},
-              {"proven", suspect.provenCrashes},
-              {"prompts", suspect.prompts}});
-}
-
-// The refusal is true for this attempt of the caller, which no endpoint has received. The caller may come back when the part is tried again.
-Asio::awaitable<void> RequestRun::refuseQuarantined(QuarantinedPart part)
-{
-    const Duration retryAfter = std::min(part.remaining, maxQuarantineRetryDelay);
-    logEvent(LogLevel::Warning,
-             "prompt.refused",
-             {{"request", this->gatewayRequest.id},
-              {"part", part.part},
-              {"crashes", part.crashes},
-              {"last_crash_ms", toMilliseconds(part.sinceLastCrash)},
-              {"retry_after_ms", toMilliseconds(retryAfter)}});
-    this->context.metrics.recordPromptRefusal(this->service);
-    co_await this->sendOwnAnswer(503, "prompt_quarantined", retryAfter);
-}
-
 ChoiceQuery RequestRun::makeQuery() const
 {
     ChoiceQuery query;
@@ -670,91 +578,4 @@
     return Duration(delay(this->state.random));
 }
 
-void RequestRun::logAttempt(const AttemptOutcome &outcome, NextStep step) const
-{
-    if (step == NextStep::Deliver && outcome.end == AttemptEnd::Answered && isSuccess(outcome.answer)) {
-        return;
-    }
-    const MonotonicTime now = monotonicNow();
-    const EndpointLoad &load = this->state.chooser.loads().find(this->currentAttempt->choice.endpoint.id);
-    const ObservationSum failures = load.fleetFailures(now);
-    const Duration sinceOutput = load.sinceFleetOutput(now);
-    logEvent(LogLevel::Warning,
-             "attempt.failed",
-             {{"request", this->gatewayRequest.id},
-              {"endpoint", this->currentAttempt->choice.endpoint.id},
-              {"model", this->currentAttempt->query.model},
-              {"end", attemptEndName(outcome.end)},
-              {"status", outcome.answer.status},
-              {"not_run", outcome.answer.notRun},
-              {"detail", this->reason},
-              {"version", this->currentAttempt->choice.endpoint.version},
-              {"elapsed_ms", toMilliseconds(now - this->currentAttempt->started)},
-              {"remaining_ms", toMilliseconds(this->remaining())},
-              {"endpoint_output_age_ms", sinceOutput == Duration::max() ? -1 : toMilliseconds(sinceOutput)},
-              {"possible_runs", this->progress.possibleRuns},
-              {"recent_failures", failures.sum},
-              {"recent_answers", failures.weight},
-              {"next", nextStepName(step)}});
-}
-
-void RequestRun::logEscalation() const
-{
-    logEvent(LogLevel::Info,
-             "answer.escalated",
-             {{"request", this->gatewayRequest.id},
-              {"from", this->currentAttempt->query.model},
-              {"to", this->modelSelection.model()},
-              {"confidence", this->modelSelection.latestConfidence()->confidence},
-              {"endpoint", this->currentAttempt->choice.endpoint.id},
-              {"shared_prompt", this->currentAttempt->choice.sharedPrefixKey.value_or(0)},
-              {"is_home", this->currentAttempt->choice.isHome},
-              {"expected_ms", toMilliseconds(this->currentAttempt->choice.firstOutput)},
-              {"elapsed_ms", toMilliseconds(monotonicNow() - this->started)}});
-}
-
-void RequestRun::logEnd() const
-{
-    const MonotonicTime now = monotonicNow();
-    nlohmann::ordered_json fields = {{"request", this->gatewayRequest.id},
-                                     {"route", this->route ? this->route->name : ""},
-                                     {"account", this->account ? this->account->name : ""},
-                                     {"status", this->status},
-                                     {"attempts", this->progress.arrivals},
-                                     {"elapsed_ms", toMilliseconds(now - this->started)}};
-    if (this->gatewayRequest.promptTokens > 0) {
-        fields["prompt_tokens"] = this->gatewayRequest.promptTokens;
-        fields["output_limit"] = this->gatewayRequest.maxOutputTokens;
-    }
-    if (this->firstOutputAt) {
-        fields["first_output_ms"] = toMilliseconds(*this->firstOutputAt - this->started);
-    }
-    if (this->currentAttempt) {
-        fields["endpoint"] = this->currentAttempt->choice.endpoint.id;
-        fields["version"] = this->currentAttempt->choice.endpoint.version;
-        fields["model"] = this->currentAttempt->query.model;
-        fields["expected_ms"] = toMilliseconds(this->currentAttempt->choice.firstOutput);
-        fields["uncached_tokens"] = this->currentAttempt->choice.uncachedTokens;
-        if (this->currentAttempt->choice.sharedPrefixKey) {
-            fields["shared_prompt"] = *this->currentAttempt->choice.sharedPrefixKey;
-            fields["is_home"] = this->currentAttempt->choice.isHome;
-        }
-    }
-    if (this->modelSelection.latestConfidence()) {
-        fields["confidence"] = this->modelSelection.latestConfidence()->confidence;
-    }
-    if (this->routes) {
-        fields["configuration"] = this->routes->configuration().version;
-    }
-    if (!this->reason.empty()) {
-        fields["reason"] = this->reason;
-    }
-    const bool isServed = this->status >= 200 && this->status < 300 && this->reason.empty();
-    logEvent(isServed ? LogLevel::Info : LogLevel::Warning, "request.ended", fields);
-    this->context.metrics.recordRequest(this->route ? this->route->name : "none", this->status, this->caller->gone, now - this->started);
-    if (this->firstOutputAt) {
-        this->context.metrics.recordFirstOutput(this->route ? this->route->name : "none", *this->firstOutputAt - this->started);
-    }
-}
-
 } // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibEntry/RequestRunEvidence.cpp
@@ -0,0 +1,105 @@
+#include "LibCore/Log.h"
+#include "LibEntry/RequestRun.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Godwitfork
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+/// Lower bound of the expected time to which an answer's time is related.
+constexpr Duration minNominalTime = std::chrono::milliseconds(25);
+/// Longest time that a caller with a quarantined prompt is told to wait.
+constexpr Duration maxQuarantineRetryDelay = std::chrono::seconds(60);
+
+} // namespace
+
+void RequestRun::recordVersionAnswer(const AttemptOutcome &outcome)
+{
+    const EndpointEntry &endpoint = this->currentAttempt->choice.endpoint;
+    if (!mayHaveRun(outcome)) {
+        return;
+    }
+    const MonotonicTime now = monotonicNow();
+    this->state.versions.recordSession(this->service, this->gatewayRequest.session, endpoint.version, now);
+    if (outcome.end == AttemptEnd::Answered && isSuccess(outcome.answer)) {
+        this->recordVersionTime();
+    }
+    AnswerObservation answer = this->versionAnswer();
+    answer.isFailure = outcome.end != AttemptEnd::Answered || !isSuccess(outcome.answer);
+    this->state.versions.recordAnswer(this->service, endpoint.version, answer);
+    this->hasFailedOnCandidate = this->hasFailedOnCandidate || answer.isFailure;
+}
+
+AnswerObservation RequestRun::versionAnswer() const
+{
+    AnswerObservation answer;
+    answer.route = this->route->name;
+    answer.endpoint = this->currentAttempt->choice.endpoint.id;
+    return answer;
+}
+
+void RequestRun::recordVersionTime()
+{
+    if (this->currentAttempt->isTimeRecorded) {
+        return;
+    }
+    this->currentAttempt->isTimeRecorded = true;
+    Duration expected = std::max(this->currentAttempt->choice.nominalFirstOutput, minNominalTime);
+    const ServiceProperties *properties = this->routes->findService(this->service);
+    if (properties && properties->engine && this->currentAttempt->events > 1) {
+        const std::int64_t tokens = (this->currentAttempt->events - 1) * properties->engine->tokensPerEvent;
+        expected += this->state.chooser.speeds().outputTime(this->service, this->currentAttempt->query.model, tokens);
+    }
+    const Duration elapsed = monotonicNow() - this->currentAttempt->started;
+    const double relativeTime = static_cast<double>(elapsed.count()) / static_cast<double>(expected.count());
+    this->state.versions.recordAnswerTime(this->service, this->currentAttempt->choice.endpoint.version, this->versionAnswer(), relativeTime);
+}
+
+ObservationUse RequestRun::observationUse() const
+{
+    const bool isTrial = this->state.versions.isCandidate(this->service, this->currentAttempt->choice.endpoint.version);
+    return isTrial ? ObservationUse::Endpoint : ObservationUse::Service;
+}
+
+void RequestRun::recordPromptCrash(const AttemptOutcome &outcome)
+{
+    if (outcome.end != AttemptEnd::Lost || !outcome.isConnectionLost || this->currentAttempt->firstOutput || this->gatewayRequest.promptParts.empty()) {
+        return;
+    }
+    const EndpointEntry &endpoint = this->currentAttempt->choice.endpoint;
+    const MonotonicTime now = monotonicNow();
+    this->state.promptQuarantine.recordCrash(this->gatewayRequest.promptParts, crashKey(endpoint.id, endpoint.incarnation), now);
+    this->context.metrics.recordPromptCrash(this->service);
+    const auto suspect = this->state.promptQuarantine.mostSuspect(this->gatewayRequest.promptParts, now).value_or(SuspectedPart());
+    logEvent(LogLevel::Info,
+             "prompt.crash",
+             {{"request", this->gatewayRequest.id},
+              {"endpoint", endpoint.id},
+              {"part", suspect.part},
+              {"crashes", suspect.crashes},
+              {"proven", suspect.provenCrashes},
+              {"prompts", suspect.prompts}});
+}
+
+// The refusal is true for this attempt of the caller, which no endpoint has received. The caller may come back when the part is tried again.
+Asio::awaitable<void> RequestRun::refuseQuarantined(QuarantinedPart part)
+{
+    const Duration retryAfter = std::min(part.remaining, maxQuarantineRetryDelay);
+    logEvent(LogLevel::Warning,
+             "prompt.refused",
+             {{"request", this->gatewayRequest.id},
+              {"part", part.part},
+              {"crashes", part.crashes},
+              {"last_crash_ms", toMilliseconds(part.sinceLastCrash)},
+              {"retry_after_ms", toMilliseconds(retryAfter)}});
+    this->context.metrics.recordPromptRefusal(this->service);
+    co_await this->sendOwnAnswer(503, "prompt_quarantined", retryAfter);
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibEntry/RequestRunLog.cpp
@@ -0,0 +1,96 @@
+#include "LibCore/Log.h"
+#include "LibEntry/RequestRun.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Godwitfork
+{
+
+void RequestRun::logAttempt(const AttemptOutcome &outcome, NextStep step) const
+{
+    if (step == NextStep::Deliver && outcome.end == AttemptEnd::Answered && isSuccess(outcome.answer)) {
+        return;
+    }
+    const MonotonicTime now = monotonicNow();
+    const EndpointLoad &load = this->state.chooser.loads().find(this->currentAttempt->choice.endpoint.id);
+    const ObservationSum failures = load.fleetFailures(now);
+    const Duration sinceOutput = load.sinceFleetOutput(now);
+    logEvent(LogLevel::Warning,
+             "attempt.failed",
+             {{"request", this->gatewayRequest.id},
+              {"endpoint", this->currentAttempt->choice.endpoint.id},
+              {"model", this->currentAttempt->query.model},
+              {"end", attemptEndName(outcome.end)},
+              {"status", outcome.answer.status},
+              {"not_run", outcome.answer.notRun},
+              {"detail", this->reason},
+              {"version", this->currentAttempt->choice.endpoint.version},
+              {"elapsed_ms", toMilliseconds(now - this->currentAttempt->started)},
+              {"remaining_ms", toMilliseconds(this->remaining())},
+              {"endpoint_output_age_ms", sinceOutput == Duration::max() ? -1 : toMilliseconds(sinceOutput)},
+              {"possible_runs", this->progress.possibleRuns},
+              {"recent_failures", failures.sum},
+              {"recent_answers", failures.weight},
+              {"next", nextStepName(step)}});
+}
+
+void RequestRun::logEscalation() const
+{
+    logEvent(LogLevel::Info,
+             "answer.escalated",
+             {{"request", this->gatewayRequest.id},
+              {"from", this->currentAttempt->query.model},
+              {"to", this->modelSelection.model()},
+              {"confidence", this->modelSelection.latestConfidence()->confidence},
+              {"endpoint", this->currentAttempt->choice.endpoint.id},
+              {"shared_prompt", this->currentAttempt->choice.sharedPrefixKey.value_or(0)},
+              {"is_home", this->currentAttempt->choice.isHome},
+              {"expected_ms", toMilliseconds(this->currentAttempt->choice.firstOutput)},
+              {"elapsed_ms", toMilliseconds(monotonicNow() - this->started)}});
+}
+
+void RequestRun::logEnd() const
+{
+    const MonotonicTime now = monotonicNow();
+    nlohmann::ordered_json fields = {{"request", this->gatewayRequest.id},
+                                     {"route", this->route ? this->route->name : ""},
+                                     {"account", this->account ? this->account->name : ""},
+                                     {"status", this->status},
+                                     {"attempts", this->progress.arrivals},
+                                     {"elapsed_ms", toMilliseconds(now - this->started)}};
+    if (this->gatewayRequest.promptTokens > 0) {
+        fields["prompt_tokens"] = this->gatewayRequest.promptTokens;
+        fields["output_limit"] = this->gatewayRequest.maxOutputTokens;
+    }
+    if (this->firstOutputAt) {
+        fields["first_output_ms"] = toMilliseconds(*this->firstOutputAt - this->started);
+    }
+    if (this->currentAttempt) {
+        fields["endpoint"] = this->currentAttempt->choice.endpoint.id;
+        fields["version"] = this->currentAttempt->choice.endpoint.version;
+        fields["model"] = this->currentAttempt->query.model;
+        fields["expected_ms"] = toMilliseconds(this->currentAttempt->choice.firstOutput);
+        fields["uncached_tokens"] = this->currentAttempt->choice.uncachedTokens;
+        if (this->currentAttempt->choice.sharedPrefixKey) {
+            fields["shared_prompt"] = *this->currentAttempt->choice.sharedPrefixKey;
+            fields["is_home"] = this->currentAttempt->choice.isHome;
+        }
+    }
+    if (this->modelSelection.latestConfidence()) {
+        fields["confidence"] = this->modelSelection.latestConfidence()->confidence;
+    }
+    if (this->routes) {
+        fields["configuration"] = this->routes->configuration().version;
+    }
+    if (!this->reason.empty()) {
+        fields["reason"] = this->reason;
+    }
+    const bool isServed = this->status >= 200 && this->status < 300 && this->reason.empty();
+    logEvent(isServed ? LogLevel::Info : LogLevel::Warning, "request.ended", fields);
+    this->context.metrics.recordRequest(this->route ? this->route->name : "none", this->status, this->caller->gone, now - this->started);
+    if (this->firstOutputAt) {
+        this->context.metrics.recordFirstOutput(this->route ? this->route->name : "none", *this->firstOutputAt - this->started);
+    }
+}
+
+} // namespace Godwitfork
--- a/Libraries/LibGateway/CatalogHistory.cpp
+++ b/Libraries/LibGateway/CatalogHistory.cpp
@@ -45,7 +45,7 @@
     nlohmann::json json = nlohmann::json::array({static_cast<int>(frame.type), static_cast<int>(frame.kind)});
     if (frame.type == RelayFrame::Type::Alive) {
         json.push_back(frame.revision);
-        json.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(frame.storeAnswerAge).count());
+        json.push_back(toMilliseconds(frame.storeAnswerAge));
     }
     if (frame.type == RelayFrame::Type::Page) {
         json.push_back(frame.page.from);
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -20,11 +20,6 @@
 /// Observations are encoded as integers in hundredths, which take fewer bytes than floating-point numbers.
 constexpr double observationUnits = 100;
 
-std::int64_t toMilliseconds(Duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 Json encodeCounts(const AnswerCounts &counts)
 {
     return Json::array({counts.answers, counts.failures, counts.slow, counts.times.answers, counts.times.logSum, counts.times.logSquareSum});
--- a/Services/Router/RouterSettings.cpp
+++ b/Services/Router/RouterSettings.cpp
@@ -67,10 +67,6 @@
     return joined;
 }
 
-long long toMilliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
 } // namespace
 
 RouterSettings parseRouterSettings(const std::string &file, const std::string &text, Findings &findings)
