--- a/Libraries/LibGateway/PromptQuarantine.cpp
+++ b/Libraries/LibGateway/PromptQuarantine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace Godwitfork
 {
@@ -35,7 +36,7 @@
 constexpr Duration mentionTime = std::chrono::seconds(5);
 constexpr Duration pruneInterval = std::chrono::seconds(1);
 /// Bounds on memory and on the size of a report.
-constexpr std::size_t maxSuspects = 256;
+constexpr std::size_t maxSuspects = 1024;
 constexpr std::size_t maxReportedParts = 32;
 constexpr std::size_t maxCrashesOfPart = 12;
 
@@ -82,10 +83,7 @@
 {
     const std::vector<std::uint64_t> hashes = partHashes(parts);
     for (const std::uint64_t part : hashes) {
-        if (!this->suspects.contains(part) && this->suspects.size() >= maxSuspects) {
-            continue;
-        }
-        Suspect &suspect = this->suspects[part];
+        Suspect &suspect = this->suspectFor(part);
         suspect.lastMentioned = now;
         this->crashCount += suspect.crashes.emplace(endpoint, Crash {hashes.back(), now}).second ? 1 : 0;
     }
@@ -109,10 +107,10 @@
 void PromptQuarantine::merge(const std::vector<PromptPartEvidence> &evidence, MonotonicTime now)
 {
     for (const PromptPartEvidence &entry : evidence) {
-        if (!this->suspects.contains(entry.part) && (entry.crashes.empty() || this->suspects.size() >= maxSuspects)) {
+        if (!this->suspects.contains(entry.part) && entry.crashes.empty()) {
             continue;
         }
-        Suspect &suspect = this->suspects[entry.part];
+        Suspect &suspect = this->suspectFor(entry.part);
         if (!entry.crashes.empty()) {
             suspect.lastMentioned = now;
         }
@@ -132,7 +130,7 @@
 
 std::vector<PromptPartEvidence> PromptQuarantine::report(MonotonicTime now) const
 {
-    std::vector<std::pair<MonotonicTime, PromptPartEvidence>> entries;
+    std::vector<std::tuple<std::size_t, MonotonicTime, PromptPartEvidence>> entries;
     for (const auto &[part, suspect] : this->suspects) {
         if (suspect.crashes.empty() && now - suspect.lastMentioned > mentionTime) {
             continue;
@@ -146,17 +144,29 @@
             evidence.sinceOutput = now - output->second;
         }
         evidence.haveOthersOutput = !suspect.crashes.empty() && suspect.lastOtherOutput > firstCrash(suspect);
-        entries.emplace_back(suspect.lastMentioned, std::move(evidence));
+        entries.emplace_back(suspect.crashes.size(), suspect.lastMentioned, std::move(evidence));
     }
     std::sort(entries.begin(), entries.end(), std::greater<>());
     entries.resize(std::min(entries.size(), maxReportedParts));
     std::vector<PromptPartEvidence> report;
-    for (auto &[time, evidence] : entries) {
+    for (auto &[crashes, time, evidence] : entries) {
         report.push_back(std::move(evidence));
     }
     return report;
 }
 
+// When an endpoint crashes, all requests that wait there are lost, each with parts of its own. They must not displace a part with several crashes.
+PromptQuarantine::Suspect &PromptQuarantine::suspectFor(std::uint64_t part)
+{
+    if (!this->suspects.contains(part) && this->suspects.size() >= maxSuspects) {
+        const auto weakest = std::min_element(this->suspects.begin(), this->suspects.end(), [](const auto &left, const auto &right) {
+            return std::pair(left.second.crashes.size(), left.second.lastMentioned) < std::pair(right.second.crashes.size(), right.second.lastMentioned);
+        });
+        this->suspects.erase(weakest);
+    }
+    return this->suspects[part];
+}
+
 MonotonicTime PromptQuarantine::lastOutput(std::uint64_t part, const Suspect &suspect) const
 {
     const auto own = this->outputs.find(part);
@@ -322,7 +332,8 @@
     this->nextPrune = now + pruneInterval;
     std::erase_if(this->outputs, [now](const auto &output) { return now - output.second > outputMemory; });
     for (auto &[part, suspect] : this->suspects) {
-        std::erase_if(suspect.crashes, [now](const auto &crash) { return now - crash.second.time > crashMemory; });
+        const Duration memory = suspect.crashes.size() < minSuspectCrashes ? outputMemory : crashMemory;
+        std::erase_if(suspect.crashes, [now, memory](const auto &crash) { return now - crash.second.time > memory; });
     }
     std::erase_if(this->suspects, [now](const auto &entry) { return entry.second.crashes.empty() && now - entry.second.lastMentioned > outputMemory; });
 }
--- a/Libraries/LibGateway/PromptQuarantine.h
+++ b/Libraries/LibGateway/PromptQuarantine.h
@@ -84,7 +84,7 @@
     void recordOutput(const std::vector<PromptPart> &parts, MonotonicTime now);
     /// Merges the evidence of all instances.
     void merge(const std::vector<PromptPartEvidence> &evidence, MonotonicTime now);
-    /// Returns the evidence to report to the other instances, the newest first.
+    /// Returns the evidence to report to the other instances, the parts with the most crashes first.
     std::vector<PromptPartEvidence> report(MonotonicTime now) const;
 
     /// Returns the quarantined part for which a new request is refused; empty if the request is admitted. After the time of a quarantine one
@@ -120,6 +120,8 @@
         std::optional<MonotonicTime> trialStartedAt;
     };
 
+    /// Returns the entry of a part; a new one takes the place of the one with the fewest crashes if there are too many.
+    Suspect &suspectFor(std::uint64_t part);
     MonotonicTime lastOutput(std::uint64_t part, const Suspect &suspect) const;
     void clearIfSound(std::uint64_t part, Suspect &suspect) const;
     /// Number of crashes that count against a part, or 0 if the evidence does not single the part out yet.
--- a/Tests/LibGateway/TestPromptQuarantine.cpp
+++ b/Tests/LibGateway/TestPromptQuarantine.cpp
@@ -103,6 +103,27 @@
     CHECK_FALSE(quarantine.isSuspect(prompt(30), start + 5s));
 }
 
+TEST_CASE("Requests that are lost with their endpoint do not displace the evidence against a part", "[quarantine]")
+{
+    // Each crash also takes the requests in the endpoint's slots, with parts of their own. There is room for a limited number of parts.
+    PromptQuarantine seen;
+    PromptQuarantine heard;
+    for (int i = 0; i < 12; ++i) {
+        const MonotonicTime now = start + i * 1s;
+        for (int j = 0; j < 64; ++j) {
+            const std::string number = std::to_string(i * 1000 + j);
+            seen.recordCrash(promptOf({"subject-" + number}, "waiting-" + number), endpointAt(i), now);
+        }
+        if (i >= 8) {
+            seen.recordCrash(promptOf({"deadly"}, "own-" + std::to_string(i)), endpointAt(i), now);
+        }
+        seen.recordOutput(promptOf({"other"}, "sound"), now + 100ms);
+        heard.merge(seen.report(now + 200ms), now + 200ms);
+    }
+    CHECK(seen.refusal(promptOf({"deadly"}, "new"), start + 12s));
+    CHECK(heard.refusal(promptOf({"deadly"}, "new"), start + 12s));
+}
+
 TEST_CASE("A part with output is not refused for crashes before it, whichever instance saw the output", "[quarantine]")
 {
     // Requests that share a popular part are lost together when their endpoint crashes.
