--- a/Libraries/LibGateway/PromptQuarantine.cpp
+++ b/Libraries/LibGateway/PromptQuarantine.cpp
@@ -43,6 +43,7 @@
 std::vector<std::uint64_t> partHashes(const std::vector<PromptPart> &parts)
 {
     std::vector<std::uint64_t> hashes;
+    hashes.reserve(parts.size());
     for (const PromptPart &part : parts) {
         hashes.push_back(hash64(part.id));
     }
@@ -149,6 +150,7 @@
     std::sort(entries.begin(), entries.end(), std::greater<>());
     entries.resize(std::min(entries.size(), maxReportedParts));
     std::vector<PromptPartEvidence> report;
+    report.reserve(entries.size());
     for (auto &[crashes, time, evidence] : entries) {
         report.push_back(std::move(evidence));
     }
