Log on what evidence a version under trial is accepted, and what each route contributed

An accepted version left no log line, so the logs could not tell a trial with too little evidence from one that was judged by the wrong reference. rollout.evidence states the merged counts once a second, rollout.accepted the moment of the last step; the roll-outs leave EntryService for a class of their own. No decision changes.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -35,6 +35,10 @@
                                                                   .Name("godwitfork_entry_prompt_refusals_total")
                                                                   .Help("Requests refused for a quarantined prompt part, by service")
                                                                   .Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &trialAnswers = prometheus::BuildGauge()
+                                                              .Name("godwitfork_entry_trial_answers")
+                                                              .Help("Answers counted for a version under trial, by service, version and result")
+                                                              .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &gauges =
         prometheus::BuildGauge().Name("godwitfork_entry_belief").Help("What the process believes, by name").Register(this->registry);
 };
@@ -67,6 +71,12 @@
     this->state->promptRefusals.Add({{"service", service}}).Increment();
 }
 
+void EntryMetrics::setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures)
+{
+    this->state->trialAnswers.Add({{"service", service}, {"version", version}, {"result", "all"}}).Set(answers);
+    this->state->trialAnswers.Add({{"service", service}, {"version", version}, {"result", "failure"}}).Set(failures);
+}
+
 std::string EntryMetrics::toText(const EntryGauges &gauges)
 {
     this->state->gauges.Add({{"name", "configuration_version"}}).Set(gauges.configurationVersion);
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -31,8 +31,6 @@
 /// Interval of checks for a settings file that changed without a signal.
 constexpr Duration settingsCheckInterval = std::chrono::seconds(5);
 constexpr const char *promptTrialTask = "prompt_trial";
-/// Pause after a failed write of a roll-out's state.
-constexpr Duration rolloutWritePause = std::chrono::milliseconds(400);
 
 HttpResponse refusal(int status, const std::string &code, const std::string &message)
 {
@@ -55,6 +53,7 @@
     , catalog(this->client, this->state.settings.store, storeTimeout)
     , requestContext {this->context, this->state, this->client, this->metrics}
     , peers(this->context, this->client, this->state)
+    , rollouts(this->context, this->state, this->metrics, this->catalog, this->peers)
     , callers(
           this->context,
           this->state.settings.callers,
@@ -158,58 +157,6 @@
     this->callers.setLimits(serverLimits);
 }
 
-void EntryService::advanceRollouts(MonotonicTime now)
-{
-    for (const std::string &service : this->state.versions.evaluate(now)) {
-        const FollowedRollout &rollout = this->state.versions.rollouts().at(service);
-        const TrialTotals totals = this->state.versions.trialTotals(service);
-        const Slowdown difference = slowdown(totals.candidate.times, totals.stable.times).value_or(Slowdown());
-        logEvent(LogLevel::Warning,
-                 "rollout.found_bad",
-                 {{"service", service},
-                  {"target", rollout.order.target},
-                  {"age_ms", toMilliseconds(now - rollout.startedAt)},
-                  {"answers", totals.candidate.answers},
-                  {"failures", totals.candidate.failures},
-                  {"slow", totals.candidate.slow},
-                  {"log_slowdown", difference.difference},
-                  {"log_error", difference.error}});
-    }
-    if (this->isWritingRollout) {
-        return;
-    }
-    for (const auto &[service, rollout] : this->state.versions.rollouts()) {
-        const int running = this->peers.runningOnOtherVersions(service, rollout.order.target);
-        const auto next = this->state.versions.stateToWrite(service, running, this->peers.rankFor(service), now);
-        if (next) {
-            this->isWritingRollout = true;
-            spawn(this->context, [this, order = rollout.order, next] { return this->writeRollout(order, *next); });
-            return;
-        }
-    }
-}
-
-Asio::awaitable<void> EntryService::writeRollout(RolloutOrder order, RolloutState next)
-{
-    const auto written = co_await this->catalog.writeRolloutState(order, next);
-    if (written) {
-        this->state.versions.setOrder(written.value(), monotonicNow());
-        logEvent(LogLevel::Info, "rollout.written", {{"service", order.service}, {"target", order.target}, {"state", rolloutStateName(next)}});
-    } else {
-        logEvent(LogLevel::Warning,
-                 "rollout.not_written",
-                 {{"service", order.service},
-                  {"state", rolloutStateName(next)},
-                  {"failure", catalogFailureName(written.error().failure)},
-                  {"message", written.error().message}});
-        // After a conflict the watch returns the newer object; the pause limits retries while the store is unavailable.
-        Asio::steady_timer timer(this->context, rolloutWritePause);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
-    }
-    this->isWritingRollout = false;
-}
-
 // The fixed retry allowance applies to the whole fleet, so each instance gets an equal share, and none while it knows no other.
 void EntryService::applyPeerState()
 {
@@ -232,7 +179,7 @@
         this->applyPeerState();
         this->state.versions.prune(now);
         this->state.promptQuarantine.prune(now);
-        this->advanceRollouts(now);
+        this->rollouts.tick(now);
         this->peers.tick(now);
         if (this->state.isReady(now) != this->wasReady) {
             this->wasReady = !this->wasReady;
--- a/Libraries/LibEntry/EntryService.h
+++ b/Libraries/LibEntry/EntryService.h
@@ -7,6 +7,7 @@
 #include "LibEntry/EntryState.h"
 #include "LibEntry/PeerExchange.h"
 #include "LibEntry/RequestRun.h"
+#include "LibEntry/RolloutController.h"
 #include "LibHttp/HttpServer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -33,8 +34,6 @@
     boost::asio::awaitable<void> serveReadiness(HttpExchange &exchange);
     boost::asio::awaitable<void> serveMetrics(HttpExchange &exchange);
     boost::asio::awaitable<void> runPeriodicTasks();
-    boost::asio::awaitable<void> writeRollout(RolloutOrder order, RolloutState target);
-    void advanceRollouts(MonotonicTime now);
     boost::asio::awaitable<void> waitForStop();
     boost::asio::awaitable<void> waitForReload();
     void applyLimits();
@@ -51,6 +50,7 @@
     EntryMetrics metrics;
     EntryContext requestContext;
     PeerExchange peers;
+    RolloutController rollouts;
     std::vector<std::unique_ptr<CatalogFollower>> followers;
     std::unique_ptr<CatalogRelay> relay;
     HttpServer callers;
@@ -59,8 +59,6 @@
     boost::asio::signal_set stopSignals;
     boost::asio::signal_set reloadSignals;
     ConfigurationVersion limitsVersion = -1;
-    /// Whether a write of a roll-out's state to the store is in progress.
-    bool isWritingRollout = false;
     bool wasReady = false;
 };
 
--- a/Libraries/LibGateway/VersionPolicy.cpp
+++ b/Libraries/LibGateway/VersionPolicy.cpp
@@ -22,13 +22,6 @@
     return state == RolloutState::Ordered || state == RolloutState::InProgress;
 }
 
-TrialObservations allObservations(const FollowedRollout &rollout)
-{
-    TrialObservations total = rollout.own;
-    total += rollout.others;
-    return total;
-}
-
 std::vector<const EndpointEntry *> withVersion(const std::vector<const EndpointEntry *> &endpoints, const std::string &version, bool wanted)
 {
     std::vector<const EndpointEntry *> result;
@@ -39,6 +32,13 @@
 }
 } // namespace
 
+TrialObservations allObservations(const FollowedRollout &rollout)
+{
+    TrialObservations total = rollout.own;
+    total += rollout.others;
+    return total;
+}
+
 VersionPolicy::VersionPolicy(double exposureShare, Duration sessionLifetime) : exposureShare(exposureShare), sessions(sessionLifetime)
 {
 }
@@ -155,12 +155,6 @@
     return known != this->followed.end() && isRunning(known->second.order.state) && !known->second.progress.isAccepted && known->second.order.target == version;
 }
 
-TrialTotals VersionPolicy::trialTotals(const std::string &service) const
-{
-    const auto known = this->followed.find(service);
-    return known == this->followed.end() ? TrialTotals() : totals(allObservations(known->second));
-}
-
 std::vector<TrialReport> VersionPolicy::reports(MonotonicTime now) const
 {
     std::vector<TrialReport> reports;
--- a/Libraries/LibGateway/VersionPolicy.h
+++ b/Libraries/LibGateway/VersionPolicy.h
@@ -34,6 +34,9 @@
     std::optional<MonotonicTime> writeDueSince;
 };
 
+/// Observations of all instances, as far as they were reported.
+TrialObservations allObservations(const FollowedRollout &rollout);
+
 /// How an instance learned of an order.
 enum class OrderOrigin {
     /// A change of the store: the order is new.
@@ -81,8 +84,6 @@
     bool isCandidate(const std::string &service, const std::string &version) const;
     /// Evaluates all running trials and returns the services whose candidate was found bad by this call.
     std::vector<std::string> evaluate(MonotonicTime now);
-    /// Sums of the answers of a service's trial over all instances.
-    TrialTotals trialTotals(const std::string &service) const;
     /// Returns the state of a running roll-out to write to the store now; empty if there is none. `rank` is the instance's position among
     /// the possible writers: each one waits longer than the one before, and writes only if the earlier ones have not.
     std::optional<RolloutState> stateToWrite(const std::string &service, int stableRequestsRunning, int rank, MonotonicTime now);
