--- a/Tests/LibGateway/TestVersionExposure.cpp
+++ b/Tests/LibGateway/TestVersionExposure.cpp
@@ -77,7 +77,7 @@
     checkExposure(engines(), VersionFault::LateErrors, seeds);
 }
 
-TEST_CASE("A slow version gets few requests, also if the stable endpoints are crowded", "[exposure]")
+TEST_CASE("A slow version gets few requests even if the stable endpoints are crowded", "[exposure]")
 {
     // Guards against EXPOSURE: a slow version on idle endpoints was as fast as the stable one on crowded endpoints.
     checkExposure(plainService(), VersionFault::Slow, seeds);
