Give a version under trial short pulses of full load, judge each route by itself, and take the last step late

Callers saw a bad version of a plain service get a third to half of all requests: it was completed although half of its answers failed on one route, were slow, or failed under load.

Cause: a trial gave the candidate a small constant share, which is a handful of answers of a plain service, compared them with fixed thresholds over all routes, and went on when its time was nearly over. The class of fault is a process that goes on by time, judged by a reference that does not compare.

Requests without a session now run on the candidate in five short pulses at one endpoint, which has the load of the whole service then; the pulses together use 0.55 of the exposure that share and tolerance (new setting exposure_tolerance) allow, and the evidence of one is known before the next. Sessions use as many endpoints as their share has, so that each has the load of a stable one. Failures and slow answers are compared with the stable version's on the same route by a likelihood ratio that averages over what is unknown of the stable rate. Slow answers count as soon as they are overdue, streams as answers once they have begun. The last step is taken at 0.93 of the time limit, so that a fault that shows only with all requests meets few of them.

In the simulated fleet streams now count once they have begun, as in the entry.

--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -68,6 +68,7 @@
     settings.retryAllowance = reader.integer("retry_allowance", settings.retryAllowance, 0, 1'000'000);
     settings.retryWindow = readSeconds(reader, "retry_window_s", 10, 1, 600);
     settings.exposureShare = readFraction(reader, "exposure_share", settings.exposureShare, 0, 1);
+    settings.exposureTolerance = reader.integer("exposure_tolerance", settings.exposureTolerance, 0, 1'000'000);
     settings.rollbackLimit = reader.milliseconds("rollback_limit_ms", 5000, 100, 600'000);
     settings.maxAnswerBytes = reader.integer("max_answer_bytes", settings.maxAnswerBytes, 1024, 1L << 30);
     settings.maxStreamBytes = reader.integer("max_stream_bytes", settings.maxStreamBytes, 1024, 1L << 40);
@@ -101,6 +102,7 @@
         << "retry_allowance: " << settings.retryAllowance << "\n"
         << "retry_window_s: " << seconds(settings.retryWindow) << "\n"
         << "exposure_share: " << settings.exposureShare << "\n"
+        << "exposure_tolerance: " << settings.exposureTolerance << "\n"
         << "rollback_limit_ms: " << milliseconds(settings.rollbackLimit) << "\n"
         << "max_answer_bytes: " << settings.maxAnswerBytes << "\n"
         << "max_stream_bytes: " << settings.maxStreamBytes << "\n"
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -36,6 +36,8 @@
     Duration retryWindow = std::chrono::seconds(10);
     /// Largest share of a service's requests that may reach a canary version, 0 to 1.
     double exposureShare = 0.1;
+    /// Requests of a service that may reach a bad canary version in addition to that share.
+    long exposureTolerance = 0;
     /// Time within which a rejected canary version must stop receiving requests.
     Duration rollbackLimit = std::chrono::seconds(5);
     /// Largest plain answer of an endpoint in bytes; it is held in memory until it is complete.
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -18,7 +18,7 @@
 EntryState::EntryState(EntrySettings settings)
     : settings(std::move(settings))
     , endpoints(reregistrationTime)
-    , versions(this->settings.exposureShare, this->settings.sessionLifetime)
+    , versions(this->settings.exposureShare, static_cast<double>(this->settings.exposureTolerance), this->settings.sessionLifetime)
     , chooser(this->settings.failureDomain)
     , random(systemSeededRandomSource())
 {
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -30,8 +30,6 @@
 constexpr Duration answerMargin = std::chrono::milliseconds(10);
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
-/// Events after which the time of a stream is recorded, so that a slow version is found before its streams end.
-constexpr std::int64_t timedEvents = 6;
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
 
@@ -204,7 +202,8 @@
 
 std::vector<const EndpointEntry *> RequestRun::candidates() const
 {
-    const VersionQuery query {this->service, this->gatewayRequest.session, sessionFraction(this->gatewayRequest), this->hasFailedOnCandidate};
+    const VersionQuery query {
+        this->service, this->gatewayRequest.session, sessionFraction(this->gatewayRequest), this->hasFailedOnCandidate, !this->triedEndpoints.empty()};
     return this->state.versions.filter(query, this->state.endpoints.ready(this->service), monotonicNow());
 }
 
@@ -338,6 +337,7 @@
             if (*ended) {
                 co_return;
             }
+            this->recordOverdueVersionTime();
             if (this->isAttemptStalled()) {
                 this->stalled = true;
                 this->caller->canceller->cancel();
@@ -448,6 +448,9 @@
         std::string output;
         events += static_cast<std::int64_t>(complete.value().size());
         this->currentAttempt->events = events;
+        if (events > 0) {
+            this->recordVersionStart();
+        }
         if (events >= timedEvents) {
             this->recordVersionTime();
         }
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -16,6 +16,9 @@
 namespace Godwitfork
 {
 
+/// Events after which the time of a stream is recorded, so that a slow version is found before its streams end.
+constexpr std::int64_t timedEvents = 6;
+
 /// Dependencies shared by all requests of the process.
 struct EntryContext {
     boost::asio::io_context &context;
@@ -41,6 +44,8 @@
     /// Time of the last event, or of the attempt's start if none arrived.
     MonotonicTime lastEventAt;
     std::int64_t events = 0;
+    /// Whether the answer was recorded as an observation of the endpoint's version.
+    bool isAnswerRecorded = false;
     /// Whether the time of the answer was recorded as an observation of the endpoint's version.
     bool isTimeRecorded = false;
     /// Whether the endpoint closed or reset the connection before the answer was complete.
@@ -87,6 +92,13 @@
     void recordVersionAnswer(const AttemptOutcome &outcome);
     /// Records how long the answer has taken so far as an observation of the endpoint's version, once for each attempt.
     void recordVersionTime();
+    /// Records a stream that has begun as a success of the endpoint's version. Failures are known at once and successes only at the end of a
+    /// stream, which would make a version with many new streams look worse than it is.
+    void recordVersionStart();
+    /// Records an answer that is slow so far, so that the slowest answers of a version are not the last ones to be known.
+    void recordOverdueVersionTime();
+    /// Relation of the time since the attempt's start to the expected time of `events` events.
+    double relativeVersionTime(std::int64_t events) const;
     AnswerObservation versionAnswer() const;
     ObservationUse observationUse() const;
     /// Records an endpoint that was lost before it had output for this request's prompt.
--- a/Libraries/LibEntry/RequestRunEvidence.cpp
+++ b/Libraries/LibEntry/RequestRunEvidence.cpp
@@ -32,10 +32,23 @@
     }
     AnswerObservation answer = this->versionAnswer();
     answer.isFailure = outcome.end != AttemptEnd::Answered || !isSuccess(outcome.answer);
-    this->state.versions.recordAnswer(this->service, endpoint.version, answer);
+    if (!this->currentAttempt->isAnswerRecorded) {
+        this->state.versions.recordAnswer(this->service, endpoint.version, answer);
+    } else if (answer.isFailure) {
+        this->state.versions.recordLateFailure(this->service, endpoint.version, answer);
+    }
+    this->currentAttempt->isAnswerRecorded = true;
     this->hasFailedOnCandidate = this->hasFailedOnCandidate || answer.isFailure;
 }
 
+void RequestRun::recordVersionStart()
+{
+    if (!this->currentAttempt->isAnswerRecorded) {
+        this->currentAttempt->isAnswerRecorded = true;
+        this->state.versions.recordAnswer(this->service, this->currentAttempt->choice.endpoint.version, this->versionAnswer());
+    }
+}
+
 AnswerObservation RequestRun::versionAnswer() const
 {
     AnswerObservation answer;
@@ -44,23 +57,40 @@
     return answer;
 }
 
-void RequestRun::recordVersionTime()
+double RequestRun::relativeVersionTime(std::int64_t events) const
 {
-    if (this->currentAttempt->isTimeRecorded) {
-        return;
-    }
-    this->currentAttempt->isTimeRecorded = true;
     Duration expected = std::max(this->currentAttempt->choice.nominalFirstOutput, minNominalTime);
     const ServiceProperties *properties = this->routes->findService(this->service);
-    if (properties && properties->engine && this->currentAttempt->events > 1) {
-        const std::int64_t tokens = (this->currentAttempt->events - 1) * properties->engine->tokensPerEvent;
+    if (properties && properties->engine && events > 1) {
+        const std::int64_t tokens = (events - 1) * properties->engine->tokensPerEvent;
         expected += this->state.chooser.speeds().outputTime(this->service, this->currentAttempt->query.model, tokens);
     }
     const Duration elapsed = monotonicNow() - this->currentAttempt->started;
-    const double relativeTime = static_cast<double>(elapsed.count()) / static_cast<double>(expected.count());
+    return static_cast<double>(elapsed.count()) / static_cast<double>(expected.count());
+}
+
+void RequestRun::recordVersionTime()
+{
+    if (this->currentAttempt->isTimeRecorded) {
+        return;
+    }
+    this->currentAttempt->isTimeRecorded = true;
+    const double relativeTime = this->relativeVersionTime(this->currentAttempt->events);
     this->state.versions.recordAnswerTime(this->service, this->currentAttempt->choice.endpoint.version, this->versionAnswer(), relativeTime);
 }
 
+void RequestRun::recordOverdueVersionTime()
+{
+    if (this->currentAttempt->isTimeRecorded) {
+        return;
+    }
+    const double relativeTime = this->relativeVersionTime(timedEvents);
+    if (relativeTime > slowFactor) {
+        this->currentAttempt->isTimeRecorded = true;
+        this->state.versions.recordAnswerTime(this->service, this->currentAttempt->choice.endpoint.version, this->versionAnswer(), relativeTime);
+    }
+}
+
 ObservationUse RequestRun::observationUse() const
 {
     const bool isTrial = this->state.versions.isCandidate(this->service, this->currentAttempt->choice.endpoint.version);
--- a/Libraries/LibEntry/RolloutController.cpp
+++ b/Libraries/LibEntry/RolloutController.cpp
@@ -71,7 +71,9 @@
             {"endpoints", observations.candidateByEndpoint.size()},
             {"evidence", trialEvidenceName(trialEvidence(observations))},
             {"log_slowdown", difference.difference},
-            {"log_error", difference.error}};
+            {"log_error", difference.error},
+            {"running", rollout.meanRunning},
+            {"pulses", rollout.progress.pulses}};
 }
 } // namespace
 
@@ -84,8 +86,25 @@
 {
 }
 
+void RolloutController::recordLoads(MonotonicTime now)
+{
+    for (const auto &[service, rollout] : this->state.versions.rollouts()) {
+        if (!isRunning(rollout)) {
+            continue;
+        }
+        ServiceLoads loads;
+        for (const EndpointEntry *endpoint : this->state.endpoints.ofService(service)) {
+            loads.runningByEndpoint[endpoint->id] = this->state.chooser.loads().find(endpoint->id).concurrentRequests();
+            loads.slots = std::max(loads.slots, endpoint->slots);
+            loads.stableEndpoints += endpoint->version == rollout.order.target ? 0 : 1;
+        }
+        this->state.versions.recordLoads(service, std::move(loads), now);
+    }
+}
+
 void RolloutController::tick(MonotonicTime now)
 {
+    this->recordLoads(now);
     for (const std::string &service : this->state.versions.evaluate(now)) {
         logEvent(LogLevel::Warning, "rollout.found_bad", trialFields(service, this->state.versions.rollouts().at(service), now));
     }
--- a/Libraries/LibEntry/RolloutController.h
+++ b/Libraries/LibEntry/RolloutController.h
@@ -25,6 +25,7 @@
     void tick(MonotonicTime now);
 
 private:
+    void recordLoads(MonotonicTime now);
     void logEvidence(const std::string &service, const FollowedRollout &rollout, MonotonicTime now);
     void logAcceptance(const std::string &service, const FollowedRollout &rollout, MonotonicTime now);
     void writeDueState(MonotonicTime now);
--- a/Libraries/LibGateway/VersionPolicy.cpp
+++ b/Libraries/LibGateway/VersionPolicy.cpp
@@ -1,6 +1,10 @@
 #include "LibGateway/VersionPolicy.h"
 
+#include "LibCore/Digest.h"
+#include "LibGateway/PeerReportAggregator.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace Godwitfork
 {
@@ -17,6 +21,9 @@
 /// Difference up to which two ages of an order count as equal; covers the time that a report is on its way.
 constexpr Duration reportDelayTolerance = std::chrono::milliseconds(100);
 
+/// Time constant of the mean of the requests in progress.
+constexpr Duration runningMeanTime = std::chrono::seconds(2);
+
 bool isRunning(RolloutState state)
 {
     return state == RolloutState::Ordered || state == RolloutState::InProgress;
@@ -30,6 +37,33 @@
     });
     return result;
 }
+
+/// Returns the endpoints that the plan uses, in an order that is the same on all instances.
+std::vector<const EndpointEntry *> plannedEndpoints(std::vector<const EndpointEntry *> candidate, const CandidatePlan &plan)
+{
+    const auto count = static_cast<std::size_t>(plan.endpointCount);
+    if (count == 0 || count >= candidate.size()) {
+        return candidate;
+    }
+    const auto rank = [](const EndpointEntry *endpoint) { return std::pair(rendezvousScore(endpoint->version, endpoint->id), endpoint->id); };
+    std::sort(candidate.begin(), candidate.end(), [&](const EndpointEntry *left, const EndpointEntry *right) { return rank(left) < rank(right); });
+    std::vector<const EndpointEntry *> planned;
+    for (std::size_t i = 0; i < count; ++i) {
+        planned.push_back(candidate[(static_cast<std::size_t>(plan.firstEndpoint) + i) % candidate.size()]);
+    }
+    return planned;
+}
+
+bool isBadSince(const TrialObservations &observations, const TrialObservations &before)
+{
+    return isCandidateBadSince(observations, withoutOwn(observations, before), before);
+}
+
+TrialTraffic trafficOf(const FollowedRollout &rollout, const TrialObservations &observations)
+{
+    const TrialTotals sums = totals(observations);
+    return {sums.candidate.answers + sums.stable.answers, sums.candidate.answers, rollout.meanRunning, rollout.loads.slots, rollout.loads.stableEndpoints};
+}
 } // namespace
 
 TrialObservations allObservations(const FollowedRollout &rollout)
@@ -39,7 +73,8 @@
     return total;
 }
 
-VersionPolicy::VersionPolicy(double exposureShare, Duration sessionLifetime) : exposureShare(exposureShare), sessions(sessionLifetime)
+VersionPolicy::VersionPolicy(double exposureShare, double exposureTolerance, Duration sessionLifetime)
+    : exposureShare(exposureShare), exposureTolerance(exposureTolerance), sessions(sessionLifetime)
 {
 }
 
@@ -65,7 +100,7 @@
 
 TrialLimits VersionPolicy::limits(const FollowedRollout &rollout) const
 {
-    return {rollout.order.timeLimit, this->exposureShare};
+    return {rollout.order.timeLimit, this->exposureShare, this->exposureTolerance};
 }
 
 bool VersionPolicy::isAwaitingAge(MonotonicTime now) const
@@ -82,18 +117,33 @@
     return isExchangingSessions(now - rollout.startedAt) || (!rollout.isAgeKnown && isExchangingSessions(now - rollout.knownSince));
 }
 
-bool VersionPolicy::isCandidateChosen(const FollowedRollout &rollout, const VersionQuery &query, MonotonicTime now) const
+bool VersionPolicy::isOnCandidate(const FollowedRollout &rollout, const VersionQuery &query, MonotonicTime now) const
+{
+    return !query.session.empty() && this->sessions.find(query.service, sessionHash(query.session), now) == rollout.order.target;
+}
+
+bool VersionPolicy::isCandidateChosen(const FollowedRollout &rollout, const VersionQuery &query, const CandidatePlan &plan, MonotonicTime now) const
 {
     const Duration age = now - rollout.startedAt;
     const bool hasSession = !query.session.empty();
-    const auto version = hasSession ? this->sessions.find(query.service, sessionHash(query.session), now) : std::nullopt;
-    if (version == rollout.order.target) {
+    if (this->isOnCandidate(rollout, query, now)) {
         return true;
     }
-    if (!maySessionsMove(this->limits(rollout), age) && (version || (hasSession && this->isExchangePending(rollout, now)))) {
+    const bool isOpen = hasSession && this->sessions.find(query.service, sessionHash(query.session), now).has_value();
+    if (!maySessionsMove(this->limits(rollout), age) && (isOpen || (hasSession && this->isExchangePending(rollout, now)))) {
         return false;
     }
-    return query.draw < candidateShare(this->limits(rollout), age, rollout.progress);
+    // The stable version answers what the candidate, which is on trial, did not.
+    if (!hasSession && query.isRetry && !rollout.progress.isAccepted) {
+        return false;
+    }
+    return query.draw < plan.share;
+}
+
+CandidatePlan VersionPolicy::plan(const FollowedRollout &rollout, const VersionQuery &query, MonotonicTime now) const
+{
+    const SessionUse use = query.session.empty() ? SessionUse::WithoutSession : SessionUse::WithSession;
+    return candidatePlan(this->limits(rollout), rollout.progress, trafficOf(rollout, rollout.judged), now - rollout.startedAt, use);
 }
 
 std::vector<const EndpointEntry *> VersionPolicy::filter(const VersionQuery &query, std::vector<const EndpointEntry *> endpoints, MonotonicTime now) const
@@ -113,10 +163,14 @@
         return candidate.empty() ? stable : candidate;
     }
     const bool leavesCandidate = query.hasFailedOnCandidate && isCandidateSuspect(allObservations(rollout));
-    const bool wantsCandidate = !leavesCandidate && this->isCandidateChosen(rollout, query, now);
+    const CandidatePlan plan = this->plan(rollout, query, now);
+    const bool wantsCandidate = !leavesCandidate && this->isCandidateChosen(rollout, query, plan, now);
     const bool mayUseEither = maySessionsMove(this->limits(rollout), now - rollout.startedAt);
     if (wantsCandidate) {
-        return candidate.empty() ? stable : candidate;
+        if (candidate.empty() || query.isRetry) {
+            return candidate.empty() ? stable : candidate;
+        }
+        return plannedEndpoints(std::move(candidate), plan);
     }
     // In the first half of the roll-out, candidate endpoints never replace stable ones, even if no stable endpoint is left.
     return stable.empty() && mayUseEither ? candidate : stable;
@@ -139,6 +193,16 @@
     Godwitfork::recordAnswer(known->second.own, answer);
 }
 
+void VersionPolicy::recordLateFailure(const std::string &service, const std::string &version, AnswerObservation answer)
+{
+    const auto known = this->followed.find(service);
+    if (known == this->followed.end() || !isRunning(known->second.order.state)) {
+        return;
+    }
+    answer.isCandidate = version == known->second.order.target;
+    Godwitfork::recordLateFailure(known->second.own, answer);
+}
+
 void VersionPolicy::recordAnswerTime(const std::string &service, const std::string &version, AnswerObservation answer, double relativeTime)
 {
     const auto known = this->followed.find(service);
@@ -163,7 +227,8 @@
             service, rollout.order.target, rollout.order.state, now - rollout.startedAt, rollout.isBad, rollout.progress.isAccepted, rollout.own, {}};
         const TrialLimits trialLimits = this->limits(rollout);
         if (isRunning(rollout.order.state) && !maySessionsMove(trialLimits, report.age)) {
-            report.sessions = this->sessions.pins(service, candidateShare(trialLimits, report.age, rollout.progress), now);
+            const CandidatePlan plan = candidatePlan(trialLimits, rollout.progress, trafficOf(rollout, rollout.judged), report.age, SessionUse::WithSession);
+            report.sessions = this->sessions.pins(service, plan.share, now);
         }
         reports.push_back(std::move(report));
     }
@@ -192,19 +257,60 @@
     }
 }
 
+void VersionPolicy::recordLoads(const std::string &service, ServiceLoads loads, MonotonicTime now)
+{
+    const auto known = this->followed.find(service);
+    if (known == this->followed.end()) {
+        return;
+    }
+    FollowedRollout &rollout = known->second;
+    int running = 0;
+    for (const auto &[endpoint, requests] : loads.runningByEndpoint) {
+        running += requests;
+    }
+    const bool isFirst = rollout.loads.runningByEndpoint.empty();
+    const double elapsed = std::chrono::duration<double>(now - rollout.loadsRecordedAt).count();
+    const double weight = isFirst ? 1 : 1 - std::exp(-elapsed / std::chrono::duration<double>(runningMeanTime).count());
+    rollout.meanRunning += weight * (running - rollout.meanRunning);
+    rollout.loadsRecordedAt = now;
+    rollout.loads = std::move(loads);
+}
+
+std::int64_t VersionPolicy::ownCandidateFailures() const
+{
+    std::int64_t failures = 0;
+    for (const auto &[service, rollout] : this->followed) {
+        failures += isRunning(rollout.order.state) ? totals(rollout.own).candidate.failures : 0;
+    }
+    return failures;
+}
+
+bool VersionPolicy::judge(FollowedRollout &rollout, MonotonicTime now)
+{
+    const TrialLimits trialLimits = this->limits(rollout);
+    const Duration age = now - rollout.startedAt;
+    TrialObservations observations = allObservations(rollout);
+    if (rollout.progress.isAccepted && !rollout.beforeLastStep) {
+        rollout.beforeLastStep = observations;
+    }
+    bool isBad = false;
+    if (observations != rollout.judged) {
+        rollout.evidence = trialEvidence(observations);
+        isBad = isCandidateBad(observations) || (rollout.beforeLastStep && isBadSince(observations, *rollout.beforeLastStep));
+        rollout.judged = std::move(observations);
+    }
+    rollout.progress.isSound = rollout.evidence == TrialEvidence::Sound;
+    rollout.progress = advancePulses(rollout.progress, trialLimits, trafficOf(rollout, rollout.judged), age);
+    const TrialDecision decision = rollout.progress.isAccepted ? TrialDecision::Continue : decideTrial(trialLimits, age, rollout.evidence);
+    rollout.progress.isAccepted = rollout.progress.isAccepted || decision == TrialDecision::Accept;
+    return isBad || decision == TrialDecision::Reject;
+}
+
 std::vector<std::string> VersionPolicy::evaluate(MonotonicTime now)
 {
     std::vector<std::string> found;
     for (auto &[service, rollout] : this->followed) {
-        if (rollout.isBad || !isRunning(rollout.order.state)) {
-            continue;
-        }
-        const TrialObservations observations = allObservations(rollout);
-        rollout.progress.isExposureUsed = isExposureUsed(this->limits(rollout), observations);
-        const TrialDecision decision =
-            rollout.progress.isAccepted ? TrialDecision::Continue : decideTrial(this->limits(rollout), now - rollout.startedAt, trialEvidence(observations));
-        rollout.progress.isAccepted = rollout.progress.isAccepted || decision == TrialDecision::Accept;
-        if (decision == TrialDecision::Reject || isCandidateBad(observations)) {
+        if (!rollout.isBad && isRunning(rollout.order.state) && this->judge(rollout, now)) {
             rollout.isBad = true;
             found.push_back(service);
         }
--- a/Libraries/LibGateway/VersionPolicy.h
+++ b/Libraries/LibGateway/VersionPolicy.h
@@ -14,6 +14,17 @@
 namespace Godwitfork
 {
 
+/// Requests in progress at a service's endpoints, over all instances.
+struct ServiceLoads {
+    std::map<std::string, int> runningByEndpoint;
+    /// Slots of one endpoint.
+    int slots = 1;
+    /// Number of endpoints of other versions than the target.
+    int stableEndpoints = 0;
+
+    auto operator<=>(const ServiceLoads &) const = default;
+};
+
 /// State of a roll-out in one instance.
 struct FollowedRollout {
     RolloutOrder order;
@@ -30,6 +41,15 @@
     /// Whether any instance found the target version bad.
     bool isBad = false;
     TrialProgress progress;
+    ServiceLoads loads;
+    /// Mean of the requests in progress at all endpoints over the last seconds, and when it was updated.
+    double meanRunning = 0;
+    MonotonicTime loadsRecordedAt;
+    /// Observations when this instance learned of the last step; empty before.
+    std::optional<TrialObservations> beforeLastStep;
+    /// Observations that were judged last, and the result.
+    TrialObservations judged;
+    TrialEvidence evidence = TrialEvidence::Undecided;
     /// Time since which the instance has a new state of the roll-out to write.
     std::optional<MonotonicTime> writeDueSince;
 };
@@ -52,13 +72,16 @@
     double draw = 0;
     /// Whether the request failed on the candidate; if the candidate is suspected to be bad, the stable version is tried.
     bool hasFailedOnCandidate = false;
+    /// Whether the request was already sent to an endpoint.
+    bool isRetry = false;
 };
 
 /// Decides on which versions of a service a request may run during a roll-out.
 class VersionPolicy
 {
 public:
-    VersionPolicy(double exposureShare, Duration sessionLifetime);
+    /// `exposureShare` and `exposureTolerance`: see `TrialLimits`.
+    VersionPolicy(double exposureShare, double exposureTolerance, Duration sessionLifetime);
 
     void setOrder(const RolloutOrder &order, MonotonicTime now, OrderOrigin origin = OrderOrigin::Change);
     void removeOrder(const std::string &service);
@@ -70,6 +93,8 @@
     void recordSession(const std::string &service, const std::string &session, const std::string &version, MonotonicTime now);
     /// Adds an answer to the service's trial if one is running.
     void recordAnswer(const std::string &service, const std::string &version, AnswerObservation answer);
+    /// Adds the failure of an answer that was recorded as a success when it began.
+    void recordLateFailure(const std::string &service, const std::string &version, AnswerObservation answer);
 
     /// Whether this instance has just started and waits for another one to report the age of a running roll-out. Without it, sessions that
     /// have moved to the candidate would move back.
@@ -82,6 +107,10 @@
     void recordAnswerTime(const std::string &service, const std::string &version, AnswerObservation answer, double relativeTime);
     /// Whether the version is under trial and was not accepted yet.
     bool isCandidate(const std::string &service, const std::string &version) const;
+    /// Replaces the loads of a service under roll-out, from which the candidate's part of the requests is planned.
+    void recordLoads(const std::string &service, ServiceLoads loads, MonotonicTime now);
+    /// Number of failures of candidates that this instance has counted in running trials.
+    std::int64_t ownCandidateFailures() const;
     /// Evaluates all running trials and returns the services whose candidate was found bad by this call.
     std::vector<std::string> evaluate(MonotonicTime now);
     /// Returns the state of a running roll-out to write to the store now; empty if there is none. `rank` is the instance's position among
@@ -95,9 +124,15 @@
 private:
     TrialLimits limits(const FollowedRollout &rollout) const;
     bool isExchangePending(const FollowedRollout &rollout, MonotonicTime now) const;
-    bool isCandidateChosen(const FollowedRollout &rollout, const VersionQuery &query, MonotonicTime now) const;
+    /// Whether an open session of the request runs on the candidate.
+    bool isOnCandidate(const FollowedRollout &rollout, const VersionQuery &query, MonotonicTime now) const;
+    bool isCandidateChosen(const FollowedRollout &rollout, const VersionQuery &query, const CandidatePlan &plan, MonotonicTime now) const;
+    CandidatePlan plan(const FollowedRollout &rollout, const VersionQuery &query, MonotonicTime now) const;
+    /// Updates the evidence of a trial and returns whether its candidate is bad.
+    bool judge(FollowedRollout &rollout, MonotonicTime now);
 
     double exposureShare;
+    double exposureTolerance;
     SessionVersions sessions;
     std::map<std::string, FollowedRollout> followed;
 };
--- a/Libraries/LibRollout/VersionTrial.h
+++ b/Libraries/LibRollout/VersionTrial.h
@@ -1,130 +1,75 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibRollout/TrialEvidence.h"
 
 #include <compare>
 #include <cstdint>
-#include <map>
-#include <optional>
-#include <string>
 
 namespace Godwitfork
 {
 
-/// Times of answers relative to the expected ones, as sums of natural logarithms. Counts only grow.
-struct RelativeTimes {
-    std::int64_t answers = 0;
-    /// Sum of the logarithms, in thousandths.
-    std::int64_t logSum = 0;
-    /// Sum of the squares of the logarithms, in thousandths.
-    std::int64_t logSquareSum = 0;
-
-    RelativeTimes &operator+=(const RelativeTimes &other);
-    auto operator<=>(const RelativeTimes &) const = default;
-};
-
-/// Adds an answer that took `relativeTime` times as long as expected.
-void recordTime(RelativeTimes &times, double relativeTime);
-
-/// Numbers of answers of one version, or of that version on one route or endpoint.
-struct AnswerCounts {
-    std::int64_t answers = 0;
-    std::int64_t failures = 0;
-    /// Number of timed answers that took several times the expected time.
-    std::int64_t slow = 0;
-    RelativeTimes times = {};
-
-    AnswerCounts &operator+=(const AnswerCounts &other);
-    auto operator<=>(const AnswerCounts &) const = default;
-};
-
-/// Answers that one instance has counted for a candidate under trial and for the stable versions that it replaces. Counts only grow.
-struct TrialObservations {
-    std::map<std::string, AnswerCounts> candidateByRoute;
-    std::map<std::string, AnswerCounts> candidateByEndpoint;
-    std::map<std::string, AnswerCounts> stableByRoute;
-
-    TrialObservations &operator+=(const TrialObservations &other);
-    auto operator<=>(const TrialObservations &) const = default;
-};
-
-struct AnswerObservation {
-    std::string route;
-    std::string endpoint;
-    bool isCandidate = false;
-    bool isFailure = false;
-};
-
-void recordAnswer(TrialObservations &observations, const AnswerObservation &answer);
-/// Records how long an answer took relative to the expected time; `answer` tells whose answer it is.
-void recordAnswerTime(TrialObservations &observations, const AnswerObservation &answer, double relativeTime);
-
-/// Sums of all answers of a trial.
-struct TrialTotals {
-    AnswerCounts candidate;
-    AnswerCounts stable;
-};
-
-TrialTotals totals(const TrialObservations &observations);
-
-/// Difference between the mean logarithms of the candidate's and the stable versions' relative times.
-struct Slowdown {
-    double difference = 0;
-    /// Standard error of the difference.
-    double error = 0;
-
-    auto operator<=>(const Slowdown &) const = default;
-};
-
-/// Returns the candidate's slowdown; empty if either version has too few answers.
-std::optional<Slowdown> slowdown(const RelativeTimes &candidate, const RelativeTimes &stable);
-
-/// Whether the candidate is bad by the merged observations of all instances. It is bad if its share of failures or slow answers, in total
-/// or on one route, exceeds a threshold above the stable versions' share, or if its answers take clearly longer than theirs, and if at least
-/// two endpoints (or its only one) are affected.
-bool isCandidateBad(const TrialObservations &observations);
-
-/// Whether the candidate's answers so far suggest that it is bad, on less evidence than `isCandidateBad` requires. A request that failed on
-/// a suspected candidate is retried on the stable version.
-bool isCandidateSuspect(const TrialObservations &observations);
-
-enum class TrialEvidence {
-    /// Too few answers, or no clear difference.
-    Undecided,
-    /// The candidate is as fast as the stable versions and does not fail more often.
-    Sound,
-    /// The candidate is probably slower or fails more often, at several endpoints.
-    Suspect,
-};
-
-const char *trialEvidenceName(TrialEvidence evidence);
-
-/// Judges the merged observations of all instances on less evidence than `isCandidateBad` requires.
-TrialEvidence trialEvidence(const TrialObservations &observations);
-
 struct TrialLimits {
     /// Time within which the trial completes or is reverted.
     Duration timeLimit = Duration::zero();
     /// Largest share of the service's requests that a bad candidate may receive within the time limit, 0 to 1.
     double exposureShare = 0.1;
+    /// Requests that a bad candidate may receive in addition to that share.
+    double exposureTolerance = 0;
+};
+
+/// What a trial knows of the service's traffic, over all instances.
+struct TrialTraffic {
+    /// Answers since the order, of all versions.
+    std::int64_t answers = 0;
+    std::int64_t candidateAnswers = 0;
+    /// Requests in progress, a mean over the last seconds.
+    double running = 0;
+    /// Slots of one endpoint.
+    int slots = 1;
+    /// Number of stable endpoints.
+    int stableEndpoints = 0;
+
+    auto operator<=>(const TrialTraffic &) const = default;
 };
 
+/// Progress of a trial in one instance. A pulse is a short time in which all requests without a session run on the candidate.
 struct TrialProgress {
     /// Whether an instance took the last step, after which the stable versions have no requests to compare the candidate with.
     bool isAccepted = false;
-    /// See `isExposureUsed`.
-    bool isExposureUsed = false;
+    /// Whether the evidence was sound at the last look.
+    bool isSound = false;
+    /// Number of pulses that have begun.
+    int pulses = 0;
+    /// Age of the trial at which the newest pulse ends.
+    Duration pulseEnd = Duration::zero();
 
     auto operator<=>(const TrialProgress &) const = default;
 };
 
-/// Share of the sessions that run on the candidate at the trial's age, 0 to 1. It is constant for the first half of the time limit, so
-/// that no session changes its version, and then grows in two steps. The first one is put off while the candidate has had its share of the
-/// answers, the last one is taken once it is accepted, at the latest when a decision is due.
-double candidateShare(const TrialLimits &limits, Duration age, const TrialProgress &progress);
+/// Number of requests that a bad candidate may receive within the time limit, from the traffic so far.
+double allowedExposure(const TrialLimits &limits, const TrialTraffic &traffic, Duration age);
+
+/// Begins the pulses that are due. Each lasts until the candidate has had its part of the requests that it may receive, at the present rate.
+TrialProgress advancePulses(TrialProgress progress, const TrialLimits &limits, const TrialTraffic &traffic, Duration age);
+
+enum class SessionUse { WithoutSession, WithSession };
 
-/// Whether the candidate has had so many of the answers that its share must not grow before it is accepted.
-bool isExposureUsed(const TrialLimits &limits, const TrialObservations &observations);
+/// Where the requests that a trial gives to the candidate run.
+struct CandidatePlan {
+    /// Share of the requests or sessions that run on the candidate, 0 to 1.
+    double share = 0;
+    /// Position of the first endpoint to use, in an order that is the same on all instances, and the number of endpoints; 0 means all.
+    int firstEndpoint = 0;
+    int endpointCount = 0;
+
+    auto operator<=>(const CandidatePlan &) const = default;
+};
+
+/// Plan for requests at the trial's age. The share of the sessions is constant for the first half of the time limit, so that no session changes its
+/// version, and grows then if the candidate is not known to be sound. Few endpoints get the requests, so that each has the load of a stable one or, in
+/// a pulse, that of the whole service.
+CandidatePlan candidatePlan(const TrialLimits &limits, const TrialProgress &progress, const TrialTraffic &traffic, Duration age, SessionUse use);
 
 enum class TrialDecision {
     /// The trial goes on at the present share.
@@ -135,8 +80,19 @@
     Reject,
 };
 
-/// Decides on the last step. It needs evidence that the candidate is sound. Shortly before the time limit it is decided without: a candidate
-/// that is suspect then is taken back.
+/// Whether the endpoint of the candidate with most requests in progress has the load of the load step.
+bool isLoaded(const TrialTraffic &traffic, int mostRunning);
+
+enum class LoadStep {
+    /// The service has no sessions: its pulses have loaded the candidate.
+    NotNeeded,
+    /// The candidate was not loaded yet, or not for long enough to show failures.
+    Pending,
+    Done,
+};
+
+/// Decides on the last step. It is taken late, since a fault that shows only with all requests is found after it: a candidate that is suspect by then
+/// is taken back.
 TrialDecision decideTrial(const TrialLimits &limits, Duration age, TrialEvidence evidence);
 
 /// Whether the instances may not have learned yet which sessions were open when the trial was ordered. Until then no session starts on the
--- a/Tests/LibGateway/TestVersionExposure.cpp
+++ b/Tests/LibGateway/TestVersionExposure.cpp
@@ -92,10 +92,15 @@
     checkExposure(engines(), VersionFault::ErrorsOnOneRoute, seeds);
 }
 
-TEST_CASE("A version with errors under load gets few requests", "[exposure]")
+TEST_CASE("A version of a plain service with errors under load gets few requests", "[exposure]")
 {
     // Guards against EXPOSURE: no endpoint of the version was loaded before the last step, after which nothing took it back.
     checkExposure(plainService(), VersionFault::ErrorsUnderLoad, seeds);
+}
+
+TEST_CASE("A version of engines with errors under load gets few requests", "[exposure]")
+{
+    // Guards against EXPOSURE: as above, where no endpoint has half of its slots in use in any step.
     checkExposure(engines(), VersionFault::ErrorsUnderLoad, seeds);
 }
 
--- a/Tests/LibGateway/TestVersionFleet.cpp
+++ b/Tests/LibGateway/TestVersionFleet.cpp
@@ -56,7 +56,7 @@
             this->endpoints.push_back(entry);
         }
         for (int i = 0; i < instanceCount; ++i) {
-            this->policies.emplace_back(0.5, lifetime);
+            this->policies.emplace_back(0.5, 0, lifetime);
             this->nextReports.push_back(start + this->upTo(reportInterval));
         }
         for (int i = 0; i < sessionCount; ++i) {
@@ -107,7 +107,7 @@
     {
         this->exchange(instance, now);
         VersionPolicy &policy = this->policies[instance];
-        policy = VersionPolicy(0.5, lifetime);
+        policy = VersionPolicy(0.5, 0, lifetime);
         policy.setOrder(order, now, OrderOrigin::FirstList);
         this->exchange(instance, now);
     }
--- a/Tests/LibGateway/TrialFleet.cpp
+++ b/Tests/LibGateway/TrialFleet.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 
 namespace Godwitfork
 {
@@ -23,7 +22,9 @@
 constexpr Duration aftermath = 6s;
 constexpr double badShare = 0.5;
 constexpr double badShareUnderLoad = 0.6;
-constexpr double slowFactor = 8;
+constexpr double faultSlowFactor = 8;
+/// Part of a stream, as a divisor, after which its speed is judged.
+constexpr int timedPart = 5;
 constexpr int badAnswersTolerated = 50;
 /// Standard deviation of the logarithm of a service time.
 constexpr double timeSpread = 0.5;
@@ -36,6 +37,9 @@
     std::string route;
     MonotonicTime started;
     MonotonicTime ends;
+    /// Time at which a stream has had the events by which its speed is judged.
+    MonotonicTime timedAt;
+    bool isTimed = false;
     bool fails = false;
     bool isBad = false;
 };
@@ -55,7 +59,7 @@
         }
         this->running.resize(this->endpoints.size());
         for (int i = 0; i < scenario.instances; ++i) {
-            this->policies.emplace_back(scenario.exposureShare, sessionLifetime);
+            this->policies.emplace_back(scenario.exposureShare, scenario.exposureTolerance, sessionLifetime);
             this->policies.back().setOrder({service, "v2", scenario.timeLimit, RolloutState::InProgress, 5}, ordered);
             this->nextReports.push_back(ordered + scenario.reportInterval * static_cast<int>(this->random() % 100) / 100);
         }
@@ -123,15 +127,19 @@
         const std::size_t endpoint = indexOf(chosen);
         const bool isSecondRoute = this->fraction() < 0.45;
         const int others = this->running[endpoint];
-        Run run {instance, static_cast<int>(endpoint), isSecondRoute ? "r2" : "r1", now, now, false, false};
+        Run run {instance, static_cast<int>(endpoint), isSecondRoute ? "r2" : "r1", now, now, now};
         double time = std::exp(std::normal_distribution<double>(0, timeSpread)(this->random)) * (1 + this->scenario.slowdownPerRequest * others);
         if (isCandidate && this->isFaulty(now, isSecondRoute, others)) {
             run.isBad = true;
             run.fails = this->fault != VersionFault::Slow;
-            time *= this->fault == VersionFault::Slow ? slowFactor : 1;
+            time *= this->fault == VersionFault::Slow ? faultSlowFactor : 1;
         }
         run.fails = run.fails || (isSecondRoute && this->fraction() < this->scenario.ownFailureShare);
         run.ends = now + std::chrono::duration_cast<Duration>(this->scenario.serviceTime * time);
+        run.timedAt = this->scenario.hasSessions ? now + (run.ends - now) / timedPart : run.ends;
+        if (this->scenario.hasSessions && run.fails) {
+            run.ends = run.timedAt;
+        }
         ++this->running[endpoint];
         this->runs.push_back(run);
         this->policies[instance].recordSession(service, session, chosen.version, now);
@@ -167,7 +175,16 @@
 
     void endRuns(MonotonicTime now)
     {
-        for (const Run &run : this->runs) {
+        for (Run &run : this->runs) {
+            if (run.timedAt <= now && !run.isTimed) {
+                run.isTimed = true;
+                this->recordBegin(run);
+            }
+            if (!run.isTimed && !run.fails && std::chrono::duration<double>(now - run.started).count() > slowFactor * this->meanTime) {
+                run.isTimed = true;
+                run.timedAt = now;
+                this->recordBegin(run);
+            }
             if (run.ends <= now) {
                 this->end(run, now);
             }
@@ -177,25 +194,30 @@
 
     void end(const Run &run, MonotonicTime now)
     {
-        const EndpointEntry &endpoint = this->endpoints[run.endpoint];
         --this->running[run.endpoint];
+        this->badAnswers += run.isBad ? 1 : 0;
+        if (this->badAnswers >= badAnswersTolerated && !this->fiftiethBadAt) {
+            this->fiftiethBadAt = now;
+        }
+    }
+
+    /// A stream counts as an answer once it has begun, a plain answer once it is complete.
+    void recordBegin(const Run &run)
+    {
+        const EndpointEntry &endpoint = this->endpoints[run.endpoint];
+        const double seconds = std::chrono::duration<double>(run.timedAt - run.started).count();
+        if (endpoint.version == "v1" && !run.fails) {
+            this->meanTime += (seconds - this->meanTime) * 0.05;
+        }
         AnswerObservation answer;
         answer.route = run.route;
         answer.endpoint = endpoint.id;
         answer.isFailure = run.fails;
         VersionPolicy &policy = this->policies[run.instance];
         policy.recordAnswer(service, endpoint.version, answer);
-        const double seconds = std::chrono::duration<double>(run.ends - run.started).count();
-        if (endpoint.version == "v1" && !run.fails) {
-            this->meanTime += (seconds - this->meanTime) * 0.05;
-        }
         if (!run.fails) {
             policy.recordAnswerTime(service, endpoint.version, answer, seconds / std::max(this->meanTime, 0.025));
         }
-        this->badAnswers += run.isBad ? 1 : 0;
-        if (this->badAnswers >= badAnswersTolerated && !this->fiftiethBadAt) {
-            this->fiftiethBadAt = now;
-        }
     }
 
     void exchangeReports(MonotonicTime now)
@@ -222,7 +244,14 @@
         for (int i = 0; i < this->scenario.endpointsPerVersion; ++i) {
             onStable += this->running[i];
         }
+        ServiceLoads loads;
+        loads.slots = this->scenario.slots;
+        loads.stableEndpoints = this->scenario.endpointsPerVersion;
+        for (std::size_t i = 0; i < this->endpoints.size(); ++i) {
+            loads.runningByEndpoint[this->endpoints[i].id] = this->running[i];
+        }
         for (int i = 0; i < this->scenario.instances; ++i) {
+            this->policies[i].recordLoads(service, loads, now);
             this->policies[i].evaluate(now);
             const auto next = this->policies[i].stateToWrite(service, onStable, i, now);
             if (next && *next != RolloutState::InProgress && !this->written) {
@@ -250,7 +279,7 @@
     std::optional<RolloutState> written;
     MonotonicTime writtenAt;
     std::optional<MonotonicTime> fiftiethBadAt;
-    double meanTime = std::chrono::duration<double>(this->scenario.serviceTime).count();
+    double meanTime = std::chrono::duration<double>(this->scenario.serviceTime).count() / (this->scenario.hasSessions ? timedPart : 1);
     int badAnswers = 0;
     int nextSession = 0;
     TrialOutcome outcome;
