Decode the limit that an endpoint names in its answers and log it

The logs could not tell whether an instance had been told a limit, so they could not distinguish an unread limit from one that each instance keeps alone. endpoint.limit has a line for each change; malformed values are ignored and logged once a second at most. Routing does not use it yet.

--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -5,6 +5,7 @@
 #include "LibGateway/Catalog.h"
 #include "LibGateway/CatalogFreshness.h"
 #include "LibGateway/EndpointChooser.h"
+#include "LibGateway/EndpointLimits.h"
 #include "LibGateway/EndpointRegistry.h"
 #include "LibGateway/ModelCascade.h"
 #include "LibGateway/PeerReport.h"
@@ -39,6 +40,9 @@
     /// Serialised store object of the configuration in force.
     std::string configurationSource;
     EndpointChooser chooser;
+    EndpointLimits endpointLimits;
+    /// Time until which further malformed header values of endpoints are not logged.
+    MonotonicTime malformedHeadersLoggedUntil;
     ConfidenceGains confidenceGains;
     PromptQuarantine promptQuarantine;
     /// Retry budget of each service, by service name.
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -365,6 +365,7 @@
     AttemptOutcome outcome;
     outcome.end = AttemptEnd::Answered;
     outcome.answer = Platform::readAnswer(stream->status(), stream->headers());
+    this->recordAnnouncement(outcome.answer.announcement);
     if (isStream(this->route->repeatRule) && isSuccess(outcome.answer)) {
         if (this->escalate(outcome.answer)) {
             const MonotonicTime now = monotonicNow();
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -101,6 +101,8 @@
     double relativeVersionTime(std::int64_t events) const;
     AnswerObservation versionAnswer() const;
     ObservationUse observationUse() const;
+    /// Records and logs what the endpoint said of itself in its answer.
+    void recordAnnouncement(const EndpointAnnouncement &announcement);
     /// Records an endpoint that was lost before it had output for this request's prompt.
     void recordPromptCrash(const AttemptOutcome &outcome);
     boost::asio::awaitable<void> refuseQuarantined(QuarantinedPart part);
--- a/Libraries/LibEntry/RequestRunEvidence.cpp
+++ b/Libraries/LibEntry/RequestRunEvidence.cpp
@@ -16,9 +16,38 @@
 constexpr Duration minNominalTime = std::chrono::milliseconds(25);
 /// Longest time that a caller with a quarantined prompt is told to wait.
 constexpr Duration maxQuarantineRetryDelay = std::chrono::seconds(60);
-
+/// Pause between two log lines on malformed headers of endpoints.
+constexpr Duration malformedHeaderLogInterval = std::chrono::seconds(1);
 } // namespace
 
+void RequestRun::recordAnnouncement(const EndpointAnnouncement &announcement)
+{
+    const EndpointEntry &endpoint = this->currentAttempt->choice.endpoint;
+    const MonotonicTime now = monotonicNow();
+    if (!announcement.problem.empty()) {
+        if (now >= this->state.malformedHeadersLoggedUntil) {
+            this->state.malformedHeadersLoggedUntil = now + malformedHeaderLogInterval;
+            logEvent(LogLevel::Warning,
+                     "endpoint.malformed_header",
+                     {{"request", this->gatewayRequest.id}, {"endpoint", endpoint.id}, {"value", announcement.problem}});
+        }
+        return;
+    }
+    const LimitChange change = this->state.endpointLimits.record(endpoint.id, endpoint.incarnation, announcement.requestsPerSecond, now);
+    if (change == LimitChange::None) {
+        return;
+    }
+    this->context.metrics.recordLimitChange(this->service);
+    logEvent(LogLevel::Info,
+             "endpoint.limit",
+             {{"request", this->gatewayRequest.id},
+              {"endpoint", endpoint.id},
+              {"incarnation", endpoint.incarnation},
+              {"service", this->service},
+              {"change", limitChangeName(change)},
+              {"per_second", announcement.requestsPerSecond.value_or(-1)}});
+}
+
 void RequestRun::recordVersionAnswer(const AttemptOutcome &outcome)
 {
     const EndpointEntry &endpoint = this->currentAttempt->choice.endpoint;
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -58,6 +58,16 @@
     auto operator<=>(const AttemptHeaders &) const = default;
 };
 
+/// What an endpoint says of itself in an answer, beside the answer's content.
+struct EndpointAnnouncement {
+    /// Requests a second that the endpoint takes from all instances together; empty if it names no limit.
+    std::optional<double> requestsPerSecond;
+    /// Header value that was ignored because it is malformed; empty if there is none.
+    std::string problem;
+
+    auto operator<=>(const EndpointAnnouncement &) const = default;
+};
+
 /// Status and header values of an endpoint's answer.
 struct AnswerMetadata {
     int status = 0;
@@ -69,6 +79,7 @@
     bool isSigned = false;
     /// Confidence that the model reports for its answer, 0 to 100.
     std::optional<int> confidence;
+    EndpointAnnouncement announcement;
 
     auto operator<=>(const AnswerMetadata &) const = default;
 };
--- a/Tests/Platform/TestRequestHeaders.cpp
+++ b/Tests/Platform/TestRequestHeaders.cpp
@@ -103,3 +103,20 @@
     CHECK_FALSE(Platform::readAnswer(503, {}).notRun);
     CHECK(Platform::readAnswer(200, {{"X-Response-Signature", "x"}, {"X-Confidence", "73"}}).confidence == 73);
 }
+
+TEST_CASE("The limit that an endpoint names is parsed and malformed ones are ignored", "[platform]")
+{
+    CHECK(Platform::readAnswer(200, {{"Server-Limit", "1"}}).announcement.requestsPerSecond == 1);
+    CHECK(Platform::readAnswer(200, {{"server-limit", " 2.5 "}}).announcement.requestsPerSecond == 2.5);
+    CHECK(Platform::readAnswer(503, {{"Server-Limit", "0"}}).announcement.requestsPerSecond == 0);
+    CHECK(Platform::readAnswer(200, {}).announcement == EndpointAnnouncement());
+    for (const std::string value : {"-1", "many", "", "nan", "inf", "1e9", "99999999999", "1, 2", "0x10", "1 2"}) {
+        INFO(value);
+        const EndpointAnnouncement announcement = Platform::readAnswer(200, {{"Server-Limit", value}}).announcement;
+        CHECK_FALSE(announcement.requestsPerSecond);
+        CHECK_FALSE(announcement.problem.empty());
+    }
+    const EndpointAnnouncement repeated = Platform::readAnswer(200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}).announcement;
+    CHECK_FALSE(repeated.requestsPerSecond);
+    CHECK_FALSE(repeated.problem.empty());
+}
