--- a/Tests/LibEntry/TestRequestRun.cpp
+++ b/Tests/LibEntry/TestRequestRun.cpp
@@ -324,3 +324,34 @@
         CHECK(answer.body == std::string(900, 'y'));
     }
 }
+
+TEST_CASE("An endpoint gets no more requests than the limit that it has named", "[run]")
+{
+    // Guards against LIMIT: an endpoint that had named a limit of 1 request a second got 19 requests in 4 s, 11 allowed.
+    EntryFixture fixture;
+    int atLimited = 0;
+    int atOther = 0;
+    fixture.addEndpoint("limited", answerOf(200, {{"X-Response-Signature", "signed"}, {"Server-Limit", "1"}}, &atLimited));
+    fixture.addEndpoint("other", answerOf(200, {{"X-Response-Signature", "signed"}}, &atOther));
+    fixture.setRoute(makeRoute(RepeatRule::Idempotent, 2));
+    constexpr int requests = 60;
+    for (int i = 0; i < requests; ++i) {
+        CHECK(fixture.send(callerHeaders("id" + std::to_string(i))).status == 200);
+    }
+    CHECK(atLimited <= 11);
+    CHECK(atOther >= requests - atLimited);
+}
+
+TEST_CASE("A request is refused at once if every endpoint is at its limit", "[run]")
+{
+    // Guards against callers that wait until their deadline for an endpoint that takes nothing.
+    EntryFixture fixture;
+    int atLimited = 0;
+    fixture.addEndpoint("limited", answerOf(200, {{"X-Response-Signature", "signed"}, {"Server-Limit", "0.5"}}, &atLimited));
+    fixture.setRoute(makeRoute(RepeatRule::Idempotent, 2));
+    CHECK(fixture.send(callerHeaders("id1")).status == 200);
+    const HttpResponse refused = fixture.send(callerHeaders("id2"));
+    CHECK(refused.status == 503);
+    CHECK_FALSE(headerValue(refused.headers, "Retry-After").empty());
+    CHECK(atLimited == 1);
+}
