Keep all instances together within the limit that an endpoint names

Callers' requests overloaded an endpoint in need: it had named 1 request a second and got 12 to 19 in 4 s, 11 allowed.

Cause: the limit was read nowhere; the endpoint's share of the traffic stayed what it was. The class of fault is a statement of a peer that no part of the router listens to. Evidence: the record's counts for each second do not change when the limit is named, and five of nine instances go on sending.

EndpointLimits keeps the newest observation of each incarnation, the own ones and those that other instances report. A few instances, chosen by rendezvous hashing for each endpoint, share the limit in equal parts with one request at a time; the others send none. Every attempt takes part: first ones, retries, escalations and resumed streams choose among endpoints within their limit. If none is left the request is refused at once as not run, with a Retry-After from the first endpoint to take one. An endpoint at its limit is tried now and then, so that the end of a limit is seen.

--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -31,6 +31,8 @@
 /// Interval of checks for a settings file that changed without a signal.
 constexpr Duration settingsCheckInterval = std::chrono::seconds(5);
 constexpr const char *promptTrialTask = "prompt_trial";
+/// Prefix of the task of sending requests to an endpoint that named a limit.
+const std::string limitTask = "limit ";
 
 HttpResponse refusal(int status, const std::string &code, const std::string &message)
 {
@@ -158,9 +160,12 @@
 }
 
 // The fixed retry allowance applies to the whole fleet, so each instance gets an equal share, and none while it knows no other.
-void EntryService::applyPeerState()
+void EntryService::applyPeerState(MonotonicTime now)
 {
     this->state.promptQuarantine.setTrialRank(this->peers.rankFor(promptTrialTask));
+    for (const auto &[endpoint, limit] : this->state.endpointLimits.limits()) {
+        this->state.endpointLimits.setRank(endpoint, this->peers.rankFor(limitTask + endpoint), this->peers.liveInstanceCount(), now);
+    }
     const double share = this->peers.hasOtherMembers() ? 1.0 / this->peers.liveInstanceCount() : 0;
     this->state.setRetryAllowance(static_cast<double>(this->state.settings.retryAllowance) * share);
 }
@@ -176,9 +181,10 @@
         const MonotonicTime now = monotonicNow();
         expireEndpoints(this->state, now);
         this->applyLimits();
-        this->applyPeerState();
+        this->applyPeerState(now);
         this->state.versions.prune(now);
         this->state.promptQuarantine.prune(now);
+        this->state.endpointLimits.prune(now);
         this->rollouts.tick(now);
         this->peers.tick(now);
         if (this->state.isReady(now) != this->wasReady) {
--- a/Libraries/LibEntry/EntryService.h
+++ b/Libraries/LibEntry/EntryService.h
@@ -37,7 +37,7 @@
     boost::asio::awaitable<void> waitForStop();
     boost::asio::awaitable<void> waitForReload();
     void applyLimits();
-    void applyPeerState();
+    void applyPeerState(MonotonicTime now);
     void reloadSettings(const char *cause);
     EntryGauges gauges() const;
 
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -92,6 +92,7 @@
     }
     report.trials = this->state.versions.reports(now);
     report.promptEvidence = this->state.promptQuarantine.report(now);
+    report.limits = this->state.endpointLimits.report(now);
     return report;
 }
 
@@ -228,6 +229,7 @@
     applyLeavingEndpoints(this->state, summary.leaving);
     this->applyPlacements(summary.placements);
     this->state.promptQuarantine.merge(summary.promptEvidence, now);
+    this->state.endpointLimits.merge(summary.limits, now);
     this->configurationFetcher.fetchIfNewer(summary.configurationHolder, summary.configuration);
     const std::size_t previous = this->directory.fleet().members().size();
     this->directory.fleet().merge(summary.members, now);
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -152,6 +152,7 @@
     }
     while (!this->caller->gone) {
         if (!this->startAttempt()) {
+            this->logLimited();
             co_await this->finish(this->progress.possibleRuns == 0 ? NextStep::RefuseNotRun : NextStep::Fail);
             co_return;
         }
@@ -204,7 +205,28 @@
 {
     const VersionQuery query {
         this->service, this->gatewayRequest.session, sessionFraction(this->gatewayRequest), this->hasFailedOnCandidate, !this->triedEndpoints.empty()};
-    return this->state.versions.filter(query, this->state.endpoints.ready(this->service), monotonicNow());
+    return this->state.versions.filter(query, this->endpointsWithinLimit(), monotonicNow());
+}
+
+std::vector<const EndpointEntry *> RequestRun::endpointsWithinLimit() const
+{
+    const MonotonicTime now = monotonicNow();
+    std::vector<const EndpointEntry *> endpoints = this->state.endpoints.ready(this->service);
+    std::erase_if(endpoints, [&](const EndpointEntry *endpoint) {
+        return this->state.endpointLimits.timeToRequest(endpoint->id, endpoint->incarnation, now) > Duration::zero();
+    });
+    return endpoints;
+}
+
+Duration RequestRun::timeToLimitedEndpoint() const
+{
+    const MonotonicTime now = monotonicNow();
+    Duration earliest = Duration::max();
+    for (const EndpointEntry *endpoint : this->state.endpoints.ready(this->service)) {
+        const Duration time = this->state.endpointLimits.timeToRequest(endpoint->id, endpoint->incarnation, now);
+        earliest = time > Duration::zero() ? std::min(earliest, time) : earliest;
+    }
+    return earliest == Duration::max() ? Duration::zero() : earliest;
 }
 
 ChoiceQuery RequestRun::makeQuery() const
@@ -264,6 +286,7 @@
     next.choice = std::move(*choice);
     next.ticket = this->state.chooser.begin(next.query, next.choice);
     next.started = monotonicNow();
+    this->state.endpointLimits.recordRequest(next.choice.endpoint.id, next.choice.endpoint.incarnation, next.started);
     next.lastEventAt = next.started;
     this->triedEndpoints.insert(next.choice.endpoint.id);
     this->currentAttempt = std::move(next);
@@ -550,7 +573,8 @@
         co_return;
     }
     const std::string cause = this->reason.empty() ? nextStepName(step) : this->reason;
-    const Duration retryAfter = step == NextStep::RefuseNotRun ? this->retryDelay() : Duration::zero();
+    // Callers come back when an endpoint that is at its limit takes a request again, spread by the usual delay.
+    const Duration retryAfter = step == NextStep::RefuseNotRun ? this->timeToLimitedEndpoint() + this->retryDelay() : Duration::zero();
     co_await this->sendOwnAnswer(stepStatus(step), cause, retryAfter);
 }
 
--- a/Libraries/LibEntry/RequestRunLog.cpp
+++ b/Libraries/LibEntry/RequestRunLog.cpp
@@ -34,6 +34,26 @@
               {"next", nextStepName(step)}});
 }
 
+void RequestRun::logLimited() const
+{
+    const MonotonicTime now = monotonicNow();
+    for (const EndpointEntry *endpoint : this->state.endpoints.ready(this->service)) {
+        const auto limit = this->state.endpointLimits.limits().find(endpoint->id);
+        const Duration time = this->state.endpointLimits.timeToRequest(endpoint->id, endpoint->incarnation, now);
+        if (limit == this->state.endpointLimits.limits().end() || time == Duration::zero()) {
+            continue;
+        }
+        logEvent(LogLevel::Warning,
+                 "attempt.limited",
+                 {{"request", this->gatewayRequest.id},
+                  {"endpoint", endpoint->id},
+                  {"per_second", limit->second.requestsPerSecond.value_or(-1)},
+                  {"limit_age_ms", toMilliseconds(now - limit->second.observedAt)},
+                  {"rank", limit->second.rank.value_or(-1)},
+                  {"wait_ms", time == Duration::max() ? -1 : toMilliseconds(time)}});
+    }
+}
+
 void RequestRun::logEscalation() const
 {
     logEvent(LogLevel::Info,
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -268,6 +268,35 @@
     return evidence;
 }
 
+Json encodeLimits(const std::vector<EndpointLimitReport> &limits)
+{
+    Json json = Json::array();
+    for (const EndpointLimitReport &limit : limits) {
+        // A negative rate stands for no limit.
+        json.push_back(Json::array({limit.endpoint, limit.incarnation, limit.requestsPerSecond.value_or(-1), toMilliseconds(limit.age)}));
+    }
+    return json;
+}
+
+/// Decodes the last field of a message, which instances of earlier releases do not send.
+std::vector<EndpointLimitReport> decodeLimits(const Json &message, std::size_t field)
+{
+    std::vector<EndpointLimitReport> limits;
+    if (message.size() <= field) {
+        return limits;
+    }
+    for (const Json &fields : message.at(field)) {
+        EndpointLimitReport limit {fields.at(0).get<std::string>(), fields.at(1).get<std::int64_t>(), std::nullopt, Duration::zero()};
+        const double rate = fields.at(2).get<double>();
+        if (rate >= 0) {
+            limit.requestsPerSecond = rate;
+        }
+        limit.age = std::chrono::milliseconds(std::max<std::int64_t>(0, fields.at(3).get<std::int64_t>()));
+        limits.push_back(std::move(limit));
+    }
+    return limits;
+}
+
 Json encodeMember(const FleetMember &member)
 {
     return Json::array({member.instance, member.address, member.capacity, member.failureDomain});
@@ -347,7 +376,8 @@
                                 encodePlacements(report.placements),
                                 encodeLeaving(report.leaving),
                                 encodeTrials(report.trials),
-                                encodePromptEvidence(report.promptEvidence)}));
+                                encodePromptEvidence(report.promptEvidence),
+                                encodeLimits(report.limits)}));
 }
 
 std::string encodePeerSummary(const PeerSummary &summary)
@@ -368,7 +398,8 @@
                                 encodePlacements(summary.placements),
                                 encodeLeaving(summary.leaving),
                                 encodeTrials(summary.trials),
-                                encodePromptEvidence(summary.promptEvidence)}));
+                                encodePromptEvidence(summary.promptEvidence),
+                                encodeLimits(summary.limits)}));
 }
 
 ErrorOr<PeerReport> decodePeerReport(std::string_view bytes)
@@ -385,6 +416,7 @@
         report.leaving = decodeLeaving(json.at(7));
         report.trials = decodeTrials(json.at(8));
         report.promptEvidence = decodePromptEvidence(json.at(9));
+        report.limits = decodeLimits(json, 10);
         return report;
     });
 }
@@ -408,6 +440,7 @@
         summary.leaving = decodeLeaving(json.at(10));
         summary.trials = decodeTrials(json.at(11));
         summary.promptEvidence = decodePromptEvidence(json.at(12));
+        summary.limits = decodeLimits(json, 13);
         return summary;
     });
 }
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -3,6 +3,7 @@
 #include "LibCore/Error.h"
 #include "LibGateway/Catalog.h"
 #include "LibGateway/DecayingSum.h"
+#include "LibGateway/EndpointLimits.h"
 #include "LibGateway/PromptQuarantine.h"
 #include "LibRollout/VersionTrial.h"
 #include "LibRouting/RetryBudget.h"
@@ -134,6 +135,8 @@
     std::vector<LeavingEndpoint> leaving;
     std::vector<TrialReport> trials;
     std::vector<PromptPartEvidence> promptEvidence;
+    /// What the sender has heard endpoints say of their limits.
+    std::vector<EndpointLimitReport> limits;
 
     auto operator<=>(const PeerReport &) const = default;
 };
@@ -160,6 +163,7 @@
     std::vector<LeavingEndpoint> leaving;
     std::vector<TrialReport> trials;
     std::vector<PromptPartEvidence> promptEvidence;
+    std::vector<EndpointLimitReport> limits;
 
     auto operator<=>(const PeerSummary &) const = default;
 };
--- a/Libraries/LibGateway/PeerReportAggregator.cpp
+++ b/Libraries/LibGateway/PeerReportAggregator.cpp
@@ -160,6 +160,7 @@
             addTrial(summary.trials, trial, now - entry.received);
         }
         addEvidence(summary.promptEvidence, report.promptEvidence, now - entry.received);
+        addLimitReports(summary.limits, report.limits, now - entry.received);
     }
     summary.memberCount = static_cast<std::int64_t>(summary.members.size());
     for (TrialReport &trial : summary.trials) {
@@ -199,6 +200,7 @@
         addTrial(total.trials, trial, age);
     }
     addEvidence(total.promptEvidence, added.promptEvidence, age);
+    addLimitReports(total.limits, added.limits, age);
 }
 
 int memberRank(const std::vector<FleetMember> &members, const std::string &instance, const std::string &task)
