Do not take a sound version back because pulses load its endpoints

Cause: in a pulse its endpoints carry the load of the whole service, the stable ones do not. Times of answers in pulses are compared after taking off that load (1.3 times); slow answers count as before.

--- a/Libraries/LibEntry/RequestRunEvidence.cpp
+++ b/Libraries/LibEntry/RequestRunEvidence.cpp
@@ -83,6 +83,7 @@
     AnswerObservation answer;
     answer.route = this->route->name;
     answer.endpoint = this->currentAttempt->choice.endpoint.id;
+    answer.isWithoutSession = this->gatewayRequest.session.empty();
     return answer;
 }
 
--- a/Libraries/LibRollout/TrialObservations.cpp
+++ b/Libraries/LibRollout/TrialObservations.cpp
@@ -15,6 +15,8 @@
 /// Lower bound of the variance of few answers, whose own variance is uncertain.
 constexpr double minVariance = 0.1;
 constexpr double logUnits = 1000;
+/// Ratio by which endpoints are slower while a pulse loads them.
+constexpr double pulseSlowdown = 1.3;
 /// Logarithms beyond this bound come from answers whose expected time was wrong.
 constexpr double maxLog = 4;
 
@@ -94,7 +96,7 @@
 {
     AnswerCounts counts;
     counts.slow = relativeTime > slowFactor ? 1 : 0;
-    recordTime(counts.times, relativeTime);
+    recordTime(counts.times, answer.isCandidate && answer.isWithoutSession ? relativeTime / pulseSlowdown : relativeTime);
     addCounts(observations, answer, counts);
 }
 
--- a/Libraries/LibRollout/TrialObservations.h
+++ b/Libraries/LibRollout/TrialObservations.h
@@ -57,6 +57,8 @@
     std::string endpoint;
     bool isCandidate = false;
     bool isFailure = false;
+    /// Whether the request belongs to no session, so that it ran on the candidate in a pulse, at an endpoint that the pulse loads.
+    bool isWithoutSession = false;
 };
 
 void recordAnswer(TrialObservations &observations, const AnswerObservation &answer);
--- a/Tests/LibGateway/TrialFleet.cpp
+++ b/Tests/LibGateway/TrialFleet.cpp
@@ -213,6 +213,7 @@
         answer.route = run.route;
         answer.endpoint = endpoint.id;
         answer.isFailure = run.fails;
+        answer.isWithoutSession = !this->scenario.hasSessions;
         VersionPolicy &policy = this->policies[run.instance];
         policy.recordAnswer(service, endpoint.version, answer);
         if (!run.fails) {
--- a/Tests/LibRollout/TestVersionTrial.cpp
+++ b/Tests/LibRollout/TestVersionTrial.cpp
@@ -130,7 +130,7 @@
     // Guards against EXPOSURE (day one-class): a route that hardly fails was compared with all routes, one of which fails often.
     const auto add = [](TrialObservations &observations, const std::string &route, bool isCandidate, int answers, int failures) {
         for (int i = 0; i < answers; ++i) {
-            recordAnswer(observations, {route, i % 2 == 0 ? "e1" : "e2", isCandidate, i < failures});
+            recordAnswer(observations, {route, i % 2 == 0 ? "e1" : "e2", isCandidate, i < failures, false});
         }
     };
     TrialObservations oneRoute;
@@ -154,11 +154,11 @@
     TrialObservations before;
     TrialObservations since;
     for (int i = 0; i < 200; ++i) {
-        recordAnswer(before, {"r", "e1", false, i % 100 == 0});
-        recordAnswer(before, {"r", "e2", true, false});
+        recordAnswer(before, {"r", "e1", false, i % 100 == 0, false});
+        recordAnswer(before, {"r", "e2", true, false, false});
     }
     for (int i = 0; i < 12; ++i) {
-        recordAnswer(since, {"r", "e2", true, i < 4});
+        recordAnswer(since, {"r", "e2", true, i < 4, false});
     }
     TrialObservations all = before;
     all += since;
@@ -183,3 +183,21 @@
     CHECK(both == right);
     CHECK(totals(both).candidate.times.answers == 14);
 }
+
+TEST_CASE("A sound candidate is not suspect because pulses load its endpoints", "[trial]")
+{
+    // Guards against good versions that were taken back: 86 answers took 1.28 times as long as those of endpoints with less load.
+    TrialObservations observations;
+    for (int i = 0; i < 400; ++i) {
+        const double spread = i % 3 == 0 ? 1.5 : 0.8;
+        const std::string endpoint = i % 2 == 0 ? "e1" : "e2";
+        recordAnswer(observations, {"r", endpoint, false, false, true});
+        recordAnswerTime(observations, {"r", endpoint, false, false, true}, spread);
+        if (i % 4 < 2) {
+            recordAnswer(observations, {"r", endpoint, true, false, true});
+            recordAnswerTime(observations, {"r", endpoint, true, false, true}, spread * 1.28);
+        }
+    }
+    CHECK_FALSE(isCandidateBad(observations));
+    CHECK(trialEvidence(observations) != TrialEvidence::Suspect);
+}
