Read the other entries of a store's answer if one is odd

Reported by other operators: the machines that read the list ended again and again, or stopped following it (LOST).

A slots field of 1e300 was converted beyond the range of its type. Ports out of range were refused for their entry alone already.

--- a/Tests/Platform/TestCatalogDecoder.cpp
+++ b/Tests/Platform/TestCatalogDecoder.cpp
@@ -134,3 +134,53 @@
     CHECK_FALSE(Platform::decodeList(CatalogKind::Endpoints, "[]"));
     CHECK_FALSE(Platform::decodeEvents(CatalogKind::Endpoints, "{}"));
 }
+
+TEST_CASE("An odd entry of another writer does not hide the other entries of a list or of a page of events", "[platform]")
+{
+    // Guards against LOST: one entry that is deeply nested, has a number too large or a port out of range ended the reading of all.
+    constexpr int depth = 100'000;
+    const std::string good = endpointObject().dump();
+    const auto with = [&good](const std::string &part, const std::string &odd) {
+        std::string text = good;
+        return text.replace(text.find(part), part.size(), odd);
+    };
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const std::vector<std::string> unusable = {with("10.0.0.9:8080", "10.0.0.9:70000"),
+                                               with("10.0.0.9:8080", "10.0.0.9:99999999999999999999"),
+                                               with("\"slots\":64", "\"slots\":1e400"),
+                                               with("\"slots\":64", "\"slots\":1e300"),
+                                               with("\"slots\":64", "\"slots\":99999999999999999999999"),
+                                               with("\"slots\":64", "\"slots\":-5"),
+                                               with("\"born\":1700000000000", "\"born\":1e400"),
+                                               with("\"born\":1700000000000", "\"born\":18446744073709551615"),
+                                               with("\"slots\":64", "\"slots\":" + nested),
+                                               with("\"spec\":{", "\"spec\":" + nested + ",\"other\":{")};
+    for (const std::string &odd : unusable) {
+        INFO(odd.substr(0, 200));
+        const auto list = Platform::decodeList(CatalogKind::Endpoints, R"({"entries":[)" + odd + "," + good + R"(],"at":7})");
+        REQUIRE(list);
+        REQUIRE(list.value().page.changes.size() == 2);
+        CHECK_FALSE(list.value().page.changes[0].object);
+        CHECK_FALSE(list.value().page.changes[0].problem.empty());
+        CHECK(list.value().page.changes[1].object);
+        const auto events = Platform::decodeEvents(CatalogKind::Endpoints, R"({"events":[{"object":)" + odd + R"(},{"object":)" + good + R"(}],"at":7})");
+        REQUIRE(events);
+        CHECK(events.value().changes.at(1).object);
+    }
+    // A field that the router does not read may hold anything.
+    for (const std::string &other : {nested, std::string("1e400"), std::string("-1E+999")}) {
+        const auto list = Platform::decodeList(CatalogKind::Endpoints, R"({"entries":[)" + with("\"sequence\":4", "\"sequence\":" + other) + R"(],"at":7})");
+        REQUIRE(list);
+        CHECK(list.value().page.changes.at(0).object);
+    }
+}
+
+TEST_CASE("A roll-out whose status is odd is read as ordered", "[platform]")
+{
+    constexpr int depth = 100'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const std::string object = R"({"metadata":{"name":"pool","revision":3},"spec":{"service":"pool","target":"v2","durationS":15},"status":)" + nested + "}";
+    const CatalogChange change = Platform::decodeObject(CatalogKind::Rollouts, nlohmann::json::parse(object));
+    REQUIRE(change.object);
+    CHECK(std::get<RolloutOrder>(*change.object).state == RolloutState::Ordered);
+}
