Do not take an answer without an id on a kept connection for that to the latest request

A repeated refusal that carries the id of its request was skipped here already; one without an id was believed: the new test failed with 503 for a request that the endpoint answered with 200. On a connection that carried earlier requests an answer must now echo the id. Requests that must not be repeated never use such a connection.

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -312,7 +312,10 @@
     // A reused connection may close while the request is in transit; a request that must not be repeated could then not be sent again.
     options.reuse = mayRepeat(this->route->repeatRule) ? ConnectionReuse::Allowed : ConnectionReuse::Never;
     options.canceller = std::make_shared<HttpCallCanceller>();
-    options.isMatchingResponse = [id = this->gatewayRequest.id](const HttpHeaders &headers) { return Platform::isAnswerTo(headers, id); };
+    // An answer without an id on a reused connection may be one to an earlier request that was sent again.
+    options.isMatchingResponse = [id = this->gatewayRequest.id](const HttpHeaders &headers, ConnectionAge age) {
+        return Platform::isAnswerTo(headers, id, age == ConnectionAge::New ? Platform::IdEcho::Optional : Platform::IdEcho::Required);
+    };
     this->caller->canceller = options.canceller;
     return options;
 }
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -394,7 +394,8 @@
     auto response =
         std::make_unique<PooledResponseStream>(state, address, options.idleTimeout, options.maxBodyBytes, std::move(stream), outgoing, options.canceller);
     error = co_await response->readHeader();
-    for (int skipped = 0; !error && options.isMatchingResponse && !options.isMatchingResponse(response->headers()); ++skipped) {
+    const ConnectionAge age = isNew ? ConnectionAge::New : ConnectionAge::Reused;
+    for (int skipped = 0; !error && options.isMatchingResponse && !options.isMatchingResponse(response->headers(), age); ++skipped) {
         if (skipped == maxSkippedResponses) {
             co_return HttpClientError {SendPhase::Sent, HttpFailure::MalformedResponse, "the responses on this connection belong to other requests"};
         }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -61,6 +61,9 @@
     std::function<void()> closeConnection;
 };
 
+/// Whether a connection has carried earlier requests.
+enum class ConnectionAge { New, Reused };
+
 struct HttpCallOptions {
     Duration connectTimeout = std::chrono::seconds(1);
     /// Time limit from the start of sending the request to the end of the response header.
@@ -83,7 +86,7 @@
     std::shared_ptr<HttpCallCanceller> canceller;
     /// Returns whether a response with these headers belongs to this request; a late response to an earlier request is skipped.
     /// If not set, every response is accepted.
-    std::function<bool(const HttpHeaders &)> isMatchingResponse;
+    std::function<bool(const HttpHeaders &, ConnectionAge)> isMatchingResponse;
 };
 
 /// Response whose body is read incrementally. Destroying it before the end of the body closes the connection, which cancels the
--- a/Tests/LibEntry/EntryFixture.cpp
+++ b/Tests/LibEntry/EntryFixture.cpp
@@ -91,6 +91,33 @@
     }
 }
 
+void EntryFixture::addScriptedEndpoint(const std::string &id, std::vector<std::string> answers, int *requests)
+{
+    using Tcp = Asio::ip::tcp;
+    auto acceptor = std::make_shared<Tcp::acceptor>(this->context, Tcp::endpoint(Asio::ip::make_address(anyPort.host), 0));
+    this->putEntry(id, {anyPort.host, acceptor->local_endpoint().port()});
+    Asio::co_spawn(this->context, this->serveScripted(std::move(acceptor), std::move(answers), requests), Asio::detached);
+}
+
+Asio::awaitable<void> EntryFixture::serveScripted(std::shared_ptr<Asio::ip::tcp::acceptor> acceptor, std::vector<std::string> answers, int *requests)
+{
+    const std::string idHeader = "X-Attempt-Id: ";
+    const std::string placeholder = "{id}";
+    auto socket = co_await acceptor->async_accept(Asio::use_awaitable);
+    std::string buffer;
+    for (std::string answer : answers) {
+        const std::size_t length = co_await Asio::async_read_until(socket, Asio::dynamic_buffer(buffer), "body", Asio::use_awaitable);
+        ++*requests;
+        const std::size_t start = buffer.find(idHeader) + idHeader.size();
+        const std::string requestId = buffer.substr(start, buffer.find('\r', start) - start);
+        buffer.erase(0, length);
+        for (std::size_t at = answer.find(placeholder); at != std::string::npos; at = answer.find(placeholder)) {
+            answer.replace(at, placeholder.size(), requestId);
+        }
+        co_await Asio::async_write(socket, Asio::buffer(answer), Asio::use_awaitable);
+    }
+}
+
 void EntryFixture::putEntry(const std::string &id, HttpAddress address)
 {
     EndpointEntry entry;
--- a/Tests/LibEntry/EntryFixture.h
+++ b/Tests/LibEntry/EntryFixture.h
@@ -28,6 +28,8 @@
     /// Adds a ready endpoint that answers each connection's first request with `response`, without length or chunks, and then closes the
     /// connection, or resets it.
     void addUnframedEndpoint(const std::string &id, std::string response, bool resets);
+    /// Adds a ready endpoint that writes, on one kept connection, `answers[n]` after the n-th request; `{id}` stands for the request's id.
+    void addScriptedEndpoint(const std::string &id, std::vector<std::string> answers, int *requests);
     void setRoute(Route route);
     /// Sends a request to the router and waits for the answer. Returns status 0 if the connection is lost.
     HttpResponse send(HttpHeaders headers);
@@ -37,6 +39,7 @@
 private:
     void putEntry(const std::string &id, HttpAddress address);
     boost::asio::awaitable<void> serveUnframed(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor, std::string response, bool resets);
+    boost::asio::awaitable<void> serveScripted(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor, std::vector<std::string> answers, int *requests);
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
 
     boost::asio::io_context context;
--- a/Tests/LibEntry/TestRequestRun.cpp
+++ b/Tests/LibEntry/TestRequestRun.cpp
@@ -355,3 +355,49 @@
     CHECK_FALSE(headerValue(refused.headers, "Retry-After").empty());
     CHECK(atLimited == 1);
 }
+
+TEST_CASE("A refusal that is written once more on a kept connection does not answer a later request", "[run]")
+{
+    // Guards against REFUSED and TWICE: the caller was told that a request had not run which the endpoint was running.
+    const std::string id = GENERATE(std::string("X-Attempt-Id: id1\r\n"), std::string());
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n" + id + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok";
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::Idempotent, 1));
+    int requests = 0;
+    const std::string ownRefusal = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    entry.addScriptedEndpoint("e1", {ownRefusal, refusal + answer}, &requests);
+    CHECK(entry.send(callerHeaders("id1")).status == 503);
+    const HttpResponse second = entry.send(callerHeaders("id2"));
+    CHECK(second.status == 200);
+    CHECK(second.body == "ok");
+    CHECK(requests == 2);
+}
+
+TEST_CASE("The error of the endpoint that should resume a stream does not reach the caller", "[run]")
+{
+    // Guards against ORDER and MIXED: callers found the error's text in the middle of their stream, or the stream ended as if it were complete.
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::ResumableStream, 2));
+    int errors = 0;
+    const int status = GENERATE(500, 503, 404);
+    HttpHeaders headers = status == 503 ? notRun : signature;
+    bool isFirst = true;
+    const auto breaking = streamOf(1, 2, false);
+    const auto failing = answerOf(status, headers, &errors);
+    const auto script = [&](HttpExchange &exchange) -> awaitable<void> {
+        if (isFirst) {
+            isFirst = false;
+            co_await breaking(exchange);
+        } else {
+            co_await failing(exchange);
+        }
+    };
+    entry.addEndpoint("e1", script);
+    entry.addEndpoint("e2", script);
+    const HttpResponse answer = entry.send(callerHeaders("id1"));
+    CHECK(errors == 1);
+    // The caller's connection is closed inside the stream, so that it does not look complete.
+    CHECK(answer.status == 0);
+    CHECK(answer.body.find("answer") == std::string::npos);
+}
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -127,7 +127,7 @@
     options.responseTimeout = headTimeout;
     options.bodyTimeout = bodyTimeout;
     options.maxBodyBytes = maxBodyBytes;
-    options.isMatchingResponse = [](const HttpHeaders &headers) { return headerValue(headers, "X-Other").empty(); };
+    options.isMatchingResponse = [](const HttpHeaders &headers, ConnectionAge) { return headerValue(headers, "X-Other").empty(); };
     return options;
 }
 
--- a/Tests/Platform/TestRequestHeaders.cpp
+++ b/Tests/Platform/TestRequestHeaders.cpp
@@ -92,8 +92,12 @@
 TEST_CASE("An answer to another request is recognised by its id", "[platform]")
 {
     // A late second answer of an endpoint can arrive where the answer to the next request is expected.
-    CHECK(Platform::isAnswerTo({{"X-Attempt-Id", "id1"}}, "id1"));
-    CHECK_FALSE(Platform::isAnswerTo({{"X-Attempt-Id", "id0"}}, "id1"));
+    for (const Platform::IdEcho echo : {Platform::IdEcho::Optional, Platform::IdEcho::Required}) {
+        CHECK(Platform::isAnswerTo({{"X-Attempt-Id", "id1"}}, "id1", echo));
+        CHECK_FALSE(Platform::isAnswerTo({{"X-Attempt-Id", "id0"}}, "id1", echo));
+    }
+    CHECK(Platform::isAnswerTo({}, "id1", Platform::IdEcho::Optional));
+    CHECK_FALSE(Platform::isAnswerTo({}, "id1", Platform::IdEcho::Required));
 }
 
 TEST_CASE("A request counts as not executed only if the endpoint states so", "[platform]")
