Follow what an endpoint says of itself: that it is leaving, or wants nothing for a time

EndpointAnnouncements, so far the limits, now holds all three, by endpoint and incarnation. An endpoint that is leaving gets nothing more from the instance that heard it, whatever the store lists, until a new incarnation registers; other instances learn of it with the reports. A closed endpoint gets nothing until its time is over and then one request before others, whose answer tells whether it is open. Refusals carry a Retry-After from the first endpoint to open.

Tests of the module, the decoding and the entry; those of the entry fail without the module's part in the choice of endpoints.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -35,10 +35,10 @@
                                                                   .Name("godwitfork_entry_prompt_refusals_total")
                                                                   .Help("Requests refused for a quarantined prompt part, by service")
                                                                   .Register(this->registry);
-    prometheus::Family<prometheus::Counter> &limitChanges = prometheus::BuildCounter()
-                                                                .Name("godwitfork_entry_endpoint_limit_changes_total")
-                                                                .Help("Answers by which the known limit of an endpoint changed, by service")
-                                                                .Register(this->registry);
+    prometheus::Family<prometheus::Counter> &announcements = prometheus::BuildCounter()
+                                                                 .Name("godwitfork_entry_endpoint_announcements_total")
+                                                                 .Help("Answers in which an endpoint said something new of itself, by service and kind")
+                                                                 .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &trialAnswers = prometheus::BuildGauge()
                                                               .Name("godwitfork_entry_trial_answers")
                                                               .Help("Answers counted for a version under trial, by service, version and result")
@@ -75,9 +75,9 @@
     this->state->promptRefusals.Add({{"service", service}}).Increment();
 }
 
-void EntryMetrics::recordLimitChange(const std::string &service)
+void EntryMetrics::recordAnnouncement(const std::string &service, const char *kind)
 {
-    this->state->limitChanges.Add({{"service", service}}).Increment();
+    this->state->announcements.Add({{"service", service}, {"kind", kind}}).Increment();
 }
 
 void EntryMetrics::setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures)
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -34,8 +34,8 @@
     void recordPromptCrash(const std::string &service);
     /// Counts a request to the service that was refused for a quarantined part of its prompt.
     void recordPromptRefusal(const std::string &service);
-    /// Counts an answer by which the known limit of an endpoint of the service changed.
-    void recordLimitChange(const std::string &service);
+    /// Counts an answer in which an endpoint of the service said something new of itself; `kind` is "limit", "leaving" or "closed".
+    void recordAnnouncement(const std::string &service, const char *kind);
     /// Sets the numbers of answers and of failures that this instance has counted for a version under trial.
     void setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures);
     std::string toText(const EntryGauges &gauges);
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -163,8 +163,8 @@
 void EntryService::applyPeerState(MonotonicTime now)
 {
     this->state.promptQuarantine.setTrialRank(this->peers.rankFor(promptTrialTask));
-    for (const auto &[endpoint, limit] : this->state.endpointLimits.limits()) {
-        this->state.endpointLimits.setRank(endpoint, this->peers.rankFor(limitTask + endpoint), this->peers.liveInstanceCount(), now);
+    for (const auto &[endpoint, limit] : this->state.announcements.states()) {
+        this->state.announcements.setRank(endpoint, this->peers.rankFor(limitTask + endpoint), this->peers.liveInstanceCount(), now);
     }
     const double share = this->peers.hasOtherMembers() ? 1.0 / this->peers.liveInstanceCount() : 0;
     this->state.setRetryAllowance(static_cast<double>(this->state.settings.retryAllowance) * share);
@@ -184,7 +184,7 @@
         this->applyPeerState(now);
         this->state.versions.prune(now);
         this->state.promptQuarantine.prune(now);
-        this->state.endpointLimits.prune(now);
+        this->state.announcements.prune(now);
         this->rollouts.tick(now);
         this->peers.tick(now);
         if (this->state.isReady(now) != this->wasReady) {
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -4,8 +4,8 @@
 #include "LibEntry/EntrySettings.h"
 #include "LibGateway/Catalog.h"
 #include "LibGateway/CatalogFreshness.h"
+#include "LibGateway/EndpointAnnouncements.h"
 #include "LibGateway/EndpointChooser.h"
-#include "LibGateway/EndpointLimits.h"
 #include "LibGateway/EndpointRegistry.h"
 #include "LibGateway/ModelCascade.h"
 #include "LibGateway/PeerReport.h"
@@ -40,7 +40,7 @@
     /// Serialised store object of the configuration in force.
     std::string configurationSource;
     EndpointChooser chooser;
-    EndpointLimits endpointLimits;
+    EndpointAnnouncements announcements;
     /// Time until which further malformed header values of endpoints are not logged.
     MonotonicTime malformedHeadersLoggedUntil;
     ConfidenceGains confidenceGains;
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -90,9 +90,14 @@
     for (const auto &[endpoint, since] : this->state.recentlyRemoved) {
         report.leaving.push_back(endpoint);
     }
+    for (const auto &[endpoint, announced] : this->state.announcements.states()) {
+        if (announced.leavingSince && this->state.endpoints.find(endpoint)) {
+            report.leaving.push_back({endpoint, announced.incarnation});
+        }
+    }
     report.trials = this->state.versions.reports(now);
     report.promptEvidence = this->state.promptQuarantine.report(now);
-    report.limits = this->state.endpointLimits.report(now);
+    report.limits = this->state.announcements.report(now);
     return report;
 }
 
@@ -229,7 +234,7 @@
     applyLeavingEndpoints(this->state, summary.leaving);
     this->applyPlacements(summary.placements);
     this->state.promptQuarantine.merge(summary.promptEvidence, now);
-    this->state.endpointLimits.merge(summary.limits, now);
+    this->state.announcements.merge(summary.limits, now);
     this->configurationFetcher.fetchIfNewer(summary.configurationHolder, summary.configuration);
     const std::size_t previous = this->directory.fleet().members().size();
     this->directory.fleet().merge(summary.members, now);
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -152,7 +152,7 @@
     }
     while (!this->caller->gone) {
         if (!this->startAttempt()) {
-            this->logLimited();
+            this->logUnavailable();
             co_await this->finish(this->progress.possibleRuns == 0 ? NextStep::RefuseNotRun : NextStep::Fail);
             co_return;
         }
@@ -205,25 +205,25 @@
 {
     const VersionQuery query {
         this->service, this->gatewayRequest.session, sessionFraction(this->gatewayRequest), this->hasFailedOnCandidate, !this->triedEndpoints.empty()};
-    return this->state.versions.filter(query, this->endpointsWithinLimit(), monotonicNow());
+    return this->state.versions.filter(query, this->availableEndpoints(), monotonicNow());
 }
 
-std::vector<const EndpointEntry *> RequestRun::endpointsWithinLimit() const
+std::vector<const EndpointEntry *> RequestRun::availableEndpoints() const
 {
     const MonotonicTime now = monotonicNow();
     std::vector<const EndpointEntry *> endpoints = this->state.endpoints.ready(this->service);
     std::erase_if(endpoints, [&](const EndpointEntry *endpoint) {
-        return this->state.endpointLimits.timeToRequest(endpoint->id, endpoint->incarnation, now) > Duration::zero();
+        return this->state.announcements.timeToRequest(endpoint->id, endpoint->incarnation, now) > Duration::zero();
     });
     return endpoints;
 }
 
-Duration RequestRun::timeToLimitedEndpoint() const
+Duration RequestRun::timeToAvailableEndpoint() const
 {
     const MonotonicTime now = monotonicNow();
     Duration earliest = Duration::max();
     for (const EndpointEntry *endpoint : this->state.endpoints.ready(this->service)) {
-        const Duration time = this->state.endpointLimits.timeToRequest(endpoint->id, endpoint->incarnation, now);
+        const Duration time = this->state.announcements.timeToRequest(endpoint->id, endpoint->incarnation, now);
         earliest = time > Duration::zero() ? std::min(earliest, time) : earliest;
     }
     return earliest == Duration::max() ? Duration::zero() : earliest;
@@ -286,7 +286,7 @@
     next.choice = std::move(*choice);
     next.ticket = this->state.chooser.begin(next.query, next.choice);
     next.started = monotonicNow();
-    this->state.endpointLimits.recordRequest(next.choice.endpoint.id, next.choice.endpoint.incarnation, next.started);
+    this->state.announcements.recordRequest(next.choice.endpoint.id, next.choice.endpoint.incarnation, next.started);
     next.lastEventAt = next.started;
     this->triedEndpoints.insert(next.choice.endpoint.id);
     this->currentAttempt = std::move(next);
@@ -576,8 +576,8 @@
         co_return;
     }
     const std::string cause = this->reason.empty() ? nextStepName(step) : this->reason;
-    // Callers come back when an endpoint that is at its limit takes a request again, spread by the usual delay.
-    const Duration retryAfter = step == NextStep::RefuseNotRun ? this->timeToLimitedEndpoint() + this->retryDelay() : Duration::zero();
+    // Callers come back when an endpoint that is closed or at its limit takes a request again, spread by the usual delay.
+    const Duration retryAfter = step == NextStep::RefuseNotRun ? this->timeToAvailableEndpoint() + this->retryDelay() : Duration::zero();
     co_await this->sendOwnAnswer(stepStatus(step), cause, retryAfter);
 }
 
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -89,11 +89,12 @@
     bool escalate(const AnswerMetadata &answer);
     void endAttempt(EndpointResult result);
     std::vector<const EndpointEntry *> candidates() const;
-    /// Ready endpoints of the service that this instance may send a request to now, as far as their limits go.
-    std::vector<const EndpointEntry *> endpointsWithinLimit() const;
-    /// Time until the first endpoint that is at its limit takes a request of this instance; zero if none is, or if other instances send them.
-    Duration timeToLimitedEndpoint() const;
-    void logLimited() const;
+    /// Ready endpoints of the service that this instance may send a request to now, by what they say of themselves.
+    std::vector<const EndpointEntry *> availableEndpoints() const;
+    /// Time until the first endpoint that is closed or at its limit takes a request of this instance; zero if there is none, or if other instances
+    /// send them.
+    Duration timeToAvailableEndpoint() const;
+    void logUnavailable() const;
     void recordVersionAnswer(const AttemptOutcome &outcome);
     /// Records how long the answer has taken so far as an observation of the endpoint's version, once for each attempt.
     void recordVersionTime();
--- a/Libraries/LibEntry/RequestRunEvidence.cpp
+++ b/Libraries/LibEntry/RequestRunEvidence.cpp
@@ -31,13 +31,28 @@
                      "endpoint.malformed_header",
                      {{"request", this->gatewayRequest.id}, {"endpoint", endpoint.id}, {"value", announcement.problem}});
         }
+    }
+    if (announcement.isLeaving && this->state.announcements.recordLeaving(endpoint.id, endpoint.incarnation, now)) {
+        this->context.metrics.recordAnnouncement(this->service, "leaving");
+        logEvent(LogLevel::Info, "endpoint.leaving", {{"request", this->gatewayRequest.id}, {"endpoint", endpoint.id}, {"incarnation", endpoint.incarnation}});
+    }
+    if (announcement.closedFor && this->state.announcements.recordClosed(endpoint.id, endpoint.incarnation, *announcement.closedFor, now)) {
+        this->context.metrics.recordAnnouncement(this->service, "closed");
+        logEvent(LogLevel::Info,
+                 "endpoint.closed",
+                 {{"request", this->gatewayRequest.id},
+                  {"endpoint", endpoint.id},
+                  {"incarnation", endpoint.incarnation},
+                  {"closed_ms", toMilliseconds(*announcement.closedFor)}});
+    }
+    if (!announcement.problem.empty() && !announcement.requestsPerSecond) {
         return;
     }
-    const LimitChange change = this->state.endpointLimits.record(endpoint.id, endpoint.incarnation, announcement.requestsPerSecond, now);
+    const LimitChange change = this->state.announcements.record(endpoint.id, endpoint.incarnation, announcement.requestsPerSecond, now);
     if (change == LimitChange::None) {
         return;
     }
-    this->context.metrics.recordLimitChange(this->service);
+    this->context.metrics.recordAnnouncement(this->service, "limit");
     logEvent(LogLevel::Info,
              "endpoint.limit",
              {{"request", this->gatewayRequest.id},
--- a/Libraries/LibEntry/RequestRunLog.cpp
+++ b/Libraries/LibEntry/RequestRunLog.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Godwitfork
 {
 
@@ -34,22 +36,24 @@
               {"next", nextStepName(step)}});
 }
 
-void RequestRun::logLimited() const
+void RequestRun::logUnavailable() const
 {
     const MonotonicTime now = monotonicNow();
     for (const EndpointEntry *endpoint : this->state.endpoints.ready(this->service)) {
-        const auto limit = this->state.endpointLimits.limits().find(endpoint->id);
-        const Duration time = this->state.endpointLimits.timeToRequest(endpoint->id, endpoint->incarnation, now);
-        if (limit == this->state.endpointLimits.limits().end() || time == Duration::zero()) {
+        const auto announced = this->state.announcements.states().find(endpoint->id);
+        const Duration time = this->state.announcements.timeToRequest(endpoint->id, endpoint->incarnation, now);
+        if (announced == this->state.announcements.states().end() || time == Duration::zero()) {
             continue;
         }
         logEvent(LogLevel::Warning,
-                 "attempt.limited",
+                 "attempt.unavailable",
                  {{"request", this->gatewayRequest.id},
                   {"endpoint", endpoint->id},
-                  {"per_second", limit->second.requestsPerSecond.value_or(-1)},
-                  {"limit_age_ms", toMilliseconds(now - limit->second.observedAt)},
-                  {"rank", limit->second.rank.value_or(-1)},
+                  {"per_second", announced->second.requestsPerSecond.value_or(-1)},
+                  {"limit_age_ms", toMilliseconds(now - announced->second.observedAt)},
+                  {"rank", announced->second.rank.value_or(-1)},
+                  {"is_leaving", announced->second.leavingSince.has_value()},
+                  {"closed_ms", std::max<std::int64_t>(0, toMilliseconds(announced->second.closedUntil - now))},
                   {"wait_ms", time == Duration::max() ? -1 : toMilliseconds(time)}});
     }
 }
--- a/Libraries/LibGateway/EndpointLimits.cpp
+++ b/Libraries/LibGateway/EndpointAnnouncements.cpp
@@ -1,4 +1,4 @@
-#include "LibGateway/EndpointLimits.h"
+#include "LibGateway/EndpointAnnouncements.h"
 
 #include <algorithm>
 #include <cmath>
@@ -19,17 +19,21 @@
 constexpr Duration reportTime = std::chrono::seconds(5);
 /// Time after which a limit that no instance has heard of again is dropped.
 constexpr Duration observationLifetime = std::chrono::seconds(30);
+/// Time for which a leaving endpoint is remembered; longer than any takes to leave.
+constexpr Duration leavingLifetime = std::chrono::minutes(10);
+/// Pause after the first request that follows a closed time, in which its answer tells whether the endpoint is open again.
+constexpr Duration reopeningPause = std::chrono::milliseconds(250);
 /// Longest list of observations in a report.
 constexpr std::size_t maxReported = 64;
 
-Duration requestInterval(const EndpointLimit &limit)
+Duration requestInterval(const AnnouncedState &limit)
 {
     const int sharing = sharingInstances(*limit.requestsPerSecond, limit.instances);
     const double rate = std::max(minRate, usedShare * *limit.requestsPerSecond / sharing);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
 }
 
-bool isSharing(const EndpointLimit &limit)
+bool isSharing(const AnnouncedState &limit)
 {
     return limit.rank && *limit.rank < sharingInstances(*limit.requestsPerSecond, limit.instances);
 }
@@ -56,25 +60,34 @@
     return static_cast<int>(std::clamp<double>(wanted, 1, std::max(1, instances)));
 }
 
-LimitChange EndpointLimits::record(const std::string &endpoint, std::int64_t incarnation, std::optional<double> requestsPerSecond, MonotonicTime now)
+AnnouncedState *EndpointAnnouncements::stateOf(const std::string &endpoint, std::int64_t incarnation)
+{
+    AnnouncedState &state = this->known[endpoint];
+    if (state.incarnation > incarnation) {
+        return nullptr;
+    }
+    if (state.incarnation != incarnation) {
+        state = AnnouncedState();
+        state.incarnation = incarnation;
+    }
+    return &state;
+}
+
+LimitChange EndpointAnnouncements::record(const std::string &endpoint, std::int64_t incarnation, std::optional<double> requestsPerSecond, MonotonicTime now)
 {
     const auto found = this->known.find(endpoint);
     const bool isKnown = found != this->known.end() && found->second.incarnation == incarnation && found->second.requestsPerSecond;
     if (!requestsPerSecond && !isKnown) {
         return LimitChange::None;
     }
-    if (found != this->known.end() && found->second.incarnation > incarnation) {
+    AnnouncedState *state = this->stateOf(endpoint, incarnation);
+    if (!state) {
         return LimitChange::None;
     }
-    EndpointLimit &limit = this->known[endpoint];
-    if (limit.incarnation != incarnation) {
-        limit = EndpointLimit();
-        limit.incarnation = incarnation;
-    }
-    const std::optional<double> previous = limit.requestsPerSecond;
-    limit.requestsPerSecond = requestsPerSecond;
-    limit.observedAt = now;
-    limit.isOwnObservation = true;
+    const std::optional<double> previous = state->requestsPerSecond;
+    state->requestsPerSecond = requestsPerSecond;
+    state->observedAt = now;
+    state->isOwnObservation = true;
     if (!requestsPerSecond) {
         return LimitChange::Lifted;
     }
@@ -84,26 +97,43 @@
     return *previous == *requestsPerSecond ? LimitChange::None : LimitChange::Changed;
 }
 
-void EndpointLimits::merge(const std::vector<EndpointLimitReport> &reports, MonotonicTime now)
+bool EndpointAnnouncements::recordLeaving(const std::string &endpoint, std::int64_t incarnation, MonotonicTime now)
+{
+    AnnouncedState *state = this->stateOf(endpoint, incarnation);
+    if (!state || state->leavingSince) {
+        return false;
+    }
+    state->leavingSince = now;
+    return true;
+}
+
+bool EndpointAnnouncements::recordClosed(const std::string &endpoint, std::int64_t incarnation, Duration closedFor, MonotonicTime now)
+{
+    AnnouncedState *state = this->stateOf(endpoint, incarnation);
+    if (!state) {
+        return false;
+    }
+    const bool isNew = now >= state->closedUntil;
+    state->closedUntil = std::max(state->closedUntil, now + closedFor);
+    return isNew;
+}
+
+void EndpointAnnouncements::merge(const std::vector<EndpointLimitReport> &reports, MonotonicTime now)
 {
     for (const EndpointLimitReport &report : reports) {
         const MonotonicTime observedAt = now - report.age;
-        EndpointLimit &limit = this->known[report.endpoint];
-        const bool isOlder = limit.incarnation > report.incarnation || (limit.incarnation == report.incarnation && limit.observedAt >= observedAt);
-        if (isOlder) {
+        AnnouncedState *state = this->stateOf(report.endpoint, report.incarnation);
+        if (!state || state->observedAt >= observedAt) {
             continue;
         }
-        if (limit.incarnation != report.incarnation) {
-            limit = EndpointLimit();
-            limit.incarnation = report.incarnation;
-        }
+        AnnouncedState &limit = *state;
         limit.requestsPerSecond = report.requestsPerSecond;
         limit.observedAt = observedAt;
         limit.isOwnObservation = false;
     }
 }
 
-std::vector<EndpointLimitReport> EndpointLimits::report(MonotonicTime now) const
+std::vector<EndpointLimitReport> EndpointAnnouncements::report(MonotonicTime now) const
 {
     std::vector<EndpointLimitReport> reports;
     for (const auto &[endpoint, limit] : this->known) {
@@ -115,13 +145,13 @@
     return reports;
 }
 
-void EndpointLimits::setRank(const std::string &endpoint, int rank, int instances, MonotonicTime now)
+void EndpointAnnouncements::setRank(const std::string &endpoint, int rank, int instances, MonotonicTime now)
 {
     const auto found = this->known.find(endpoint);
     if (found == this->known.end() || !found->second.requestsPerSecond) {
         return;
     }
-    EndpointLimit &limit = found->second;
+    AnnouncedState &limit = found->second;
     const bool wasSharing = isSharing(limit);
     limit.rank = rank;
     limit.instances = instances;
@@ -131,35 +161,47 @@
     }
 }
 
-const EndpointLimit *EndpointLimits::find(const std::string &endpoint, std::int64_t incarnation) const
+const AnnouncedState *EndpointAnnouncements::find(const std::string &endpoint, std::int64_t incarnation) const
 {
     const auto found = this->known.find(endpoint);
-    const bool isNamed = found != this->known.end() && found->second.incarnation == incarnation && found->second.requestsPerSecond;
-    return isNamed ? &found->second : nullptr;
+    return found != this->known.end() && found->second.incarnation == incarnation ? &found->second : nullptr;
 }
 
-Duration EndpointLimits::timeToRequest(const std::string &endpoint, std::int64_t incarnation, MonotonicTime now) const
+Duration EndpointAnnouncements::timeToRequest(const std::string &endpoint, std::int64_t incarnation, MonotonicTime now) const
 {
-    const EndpointLimit *limit = this->find(endpoint, incarnation);
-    if (!limit) {
+    const AnnouncedState *state = this->find(endpoint, incarnation);
+    if (!state) {
         return Duration::zero();
     }
-    return isSharing(*limit) ? std::max(Duration::zero(), limit->nextRequest - now) : Duration::max();
+    if (state->leavingSince || (state->requestsPerSecond && !isSharing(*state))) {
+        return Duration::max();
+    }
+    return std::max({Duration::zero(), state->nextRequest - now, state->closedUntil - now});
 }
 
-void EndpointLimits::recordRequest(const std::string &endpoint, std::int64_t incarnation, MonotonicTime now)
+void EndpointAnnouncements::recordRequest(const std::string &endpoint, std::int64_t incarnation, MonotonicTime now)
 {
-    if (const EndpointLimit *limit = this->find(endpoint, incarnation)) {
-        this->known[endpoint].nextRequest = std::max(limit->nextRequest, now) + requestInterval(*limit);
+    if (!this->find(endpoint, incarnation)) {
+        return;
+    }
+    AnnouncedState &state = this->known[endpoint];
+    if (state.requestsPerSecond) {
+        state.nextRequest = std::max(state.nextRequest, now) + requestInterval(state);
+    } else if (state.closedUntil > state.nextRequest) {
+        state.nextRequest = now + reopeningPause;
     }
 }
 
-void EndpointLimits::prune(MonotonicTime now)
+void EndpointAnnouncements::prune(MonotonicTime now)
 {
-    std::erase_if(this->known, [now](const auto &entry) { return now - entry.second.observedAt > observationLifetime; });
+    std::erase_if(this->known, [now](const auto &entry) {
+        const AnnouncedState &state = entry.second;
+        const bool isLeaving = state.leavingSince && now - *state.leavingSince <= leavingLifetime;
+        return !isLeaving && now >= state.closedUntil && now >= state.nextRequest && now - state.observedAt > observationLifetime;
+    });
 }
 
-const std::map<std::string, EndpointLimit> &EndpointLimits::limits() const
+const std::map<std::string, AnnouncedState> &EndpointAnnouncements::states() const
 {
     return this->known;
 }
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -62,6 +62,10 @@
 struct EndpointAnnouncement {
     /// Requests a second that the endpoint takes from all instances together; empty if it names no limit.
     std::optional<double> requestsPerSecond;
+    /// Whether the endpoint is leaving, so that it wants no new requests.
+    bool isLeaving = false;
+    /// Time for which the endpoint, which refused the request, wants none of this instance.
+    std::optional<Duration> closedFor;
     /// Header value that was ignored because it is malformed; empty if there is none.
     std::string problem;
 
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -3,7 +3,7 @@
 #include "LibCore/Error.h"
 #include "LibGateway/Catalog.h"
 #include "LibGateway/DecayingSum.h"
-#include "LibGateway/EndpointLimits.h"
+#include "LibGateway/EndpointAnnouncements.h"
 #include "LibGateway/PromptQuarantine.h"
 #include "LibRollout/VersionTrial.h"
 #include "LibRouting/RetryBudget.h"
--- a/Tests/LibEntry/TestRequestRun.cpp
+++ b/Tests/LibEntry/TestRequestRun.cpp
@@ -401,3 +401,37 @@
     CHECK(answer.status == 0);
     CHECK(answer.body.find("answer") == std::string::npos);
 }
+
+TEST_CASE("An endpoint that says it is leaving gets no further request, even if the store lists it as ready", "[run]")
+{
+    // Guards against DRAIN: what an endpoint says of itself reached an instance through the store only.
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::Idempotent, 2));
+    int atLeaving = 0;
+    int atOther = 0;
+    entry.addEndpoint("leaving", answerOf(200, {{"X-Response-Signature", "signed"}, {"Server-Leaving", "1"}}, &atLeaving));
+    entry.addEndpoint("other", answerOf(200, signature, &atOther));
+    constexpr int requests = 20;
+    for (int i = 0; i < requests; ++i) {
+        CHECK(entry.send(callerHeaders("id" + std::to_string(i))).status == 200);
+    }
+    CHECK(atLeaving <= 1);
+    CHECK(atOther >= requests - 1);
+}
+
+TEST_CASE("An endpoint that closes itself for a time gets no further request within it", "[run]")
+{
+    // Guards against BUDGET: an endpoint that wanted nothing for 30 s got retries and new requests.
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::Idempotent, 2));
+    int atClosed = 0;
+    HttpHeaders refusal = notRun;
+    refusal.push_back({"Retry-After", "30"});
+    entry.addEndpoint("closed", answerOf(503, refusal, &atClosed));
+    const HttpResponse first = entry.send(callerHeaders("id1"));
+    const HttpResponse second = entry.send(callerHeaders("id2"));
+    CHECK(first.status == 503);
+    CHECK(second.status == 503);
+    CHECK(std::stod(headerValue(second.headers, "Retry-After")) > 29);
+    CHECK(atClosed == 1);
+}
--- a/Tests/LibGateway/TestEndpointLimits.cpp
+++ b/Tests/LibGateway/TestEndpointAnnouncements.cpp
@@ -1,4 +1,4 @@
-#include "LibGateway/EndpointLimits.h"
+#include "LibGateway/EndpointAnnouncements.h"
 #include "LibGateway/PeerReportAggregator.h"
 
 #include <catch2/catch.hpp>
@@ -30,7 +30,7 @@
 {
     std::mt19937_64 random(seed);
     std::uniform_real_distribution<double> fraction(0, 1);
-    std::vector<EndpointLimits> limits(static_cast<std::size_t>(instances));
+    std::vector<EndpointAnnouncements> limits(static_cast<std::size_t>(instances));
     std::vector<Told> told(limits.size());
     std::vector<MonotonicTime> nextReports(limits.size(), start);
     PeerReportAggregator hub(5s, 5s);
@@ -39,7 +39,7 @@
     for (MonotonicTime now = start; now < start + playTime; now += step) {
         for (std::size_t i = 0; i < limits.size(); ++i) {
             if (fraction(random) < 0.0002) {
-                limits[i] = EndpointLimits();
+                limits[i] = EndpointAnnouncements();
                 told[i] = Told();
             }
             if (now >= nextReports[i]) {
@@ -100,8 +100,8 @@
 
 TEST_CASE("A limit ends when the endpoint stops naming it, at all instances", "[limits]")
 {
-    EndpointLimits own;
-    EndpointLimits other;
+    EndpointAnnouncements own;
+    EndpointAnnouncements other;
     CHECK(own.record("e", 1, 2.0, start) == LimitChange::Named);
     CHECK(own.record("e", 1, 2.0, start + 1s) == LimitChange::None);
     CHECK(own.record("e", 1, 3.0, start + 2s) == LimitChange::Changed);
@@ -115,15 +115,15 @@
 
 TEST_CASE("A new incarnation of an endpoint has no limit and an older observation does not return", "[limits]")
 {
-    EndpointLimits limits;
+    EndpointAnnouncements limits;
     limits.record("e", 1, 0.5, start);
     CHECK(limits.timeToRequest("e", 1, start) > Duration::zero());
     CHECK(limits.timeToRequest("e", 2, start) == Duration::zero());
     limits.record("e", 2, 7.0, start + 1s);
     limits.merge({{"e", 1, 0.5, 0s}}, start + 2s);
-    CHECK(limits.limits().at("e").requestsPerSecond == 7.0);
+    CHECK(limits.states().at("e").requestsPerSecond == 7.0);
     limits.merge({{"e", 2, 3.0, 5s}}, start + 2s);
-    CHECK(limits.limits().at("e").requestsPerSecond == 7.0);
+    CHECK(limits.states().at("e").requestsPerSecond == 7.0);
     limits.merge({{"e", 2, std::nullopt, 100ms}}, start + 2s);
     CHECK(limits.timeToRequest("e", 2, start + 2s) == Duration::zero());
 }
@@ -137,3 +137,33 @@
     summary.limits = report.limits;
     CHECK(decodePeerSummary(encodePeerSummary(summary)).value().limits == report.limits);
 }
+
+TEST_CASE("An endpoint that says it is leaving gets nothing more from this instance, and its next incarnation does", "[announcements]")
+{
+    // Guards against DRAIN: the store's older list still had the endpoint as ready.
+    EndpointAnnouncements announcements;
+    CHECK(announcements.recordLeaving("e", 3, start));
+    CHECK_FALSE(announcements.recordLeaving("e", 3, start + 1s));
+    announcements.merge({{"e", 3, std::nullopt, 0s}}, start + 2s);
+    announcements.prune(start + 60s);
+    CHECK(announcements.timeToRequest("e", 3, start + 60s) == Duration::max());
+    CHECK(announcements.timeToRequest("e", 4, start + 60s) == Duration::zero());
+    announcements.record("e", 4, std::nullopt, start + 61s);
+    CHECK_FALSE(announcements.recordLeaving("e", 2, start + 62s));
+    CHECK(announcements.timeToRequest("e", 4, start + 62s) == Duration::zero());
+}
+
+TEST_CASE("An endpoint that closes itself gets nothing until its time is over, then one request first", "[announcements]")
+{
+    // Guards against BUDGET: more than two requests reach an endpoint in the time for which it wanted none.
+    EndpointAnnouncements announcements;
+    CHECK(announcements.recordClosed("e", 1, 2s, start));
+    CHECK_FALSE(announcements.recordClosed("e", 1, 1s, start + 500ms));
+    CHECK(announcements.timeToRequest("e", 1, start + 500ms) == 1500ms);
+    CHECK(announcements.timeToRequest("e", 1, start + 2s) == Duration::zero());
+    announcements.recordRequest("e", 1, start + 2s);
+    CHECK(announcements.timeToRequest("e", 1, start + 2s) > Duration::zero());
+    CHECK(announcements.timeToRequest("e", 1, start + 2500ms) == Duration::zero());
+    announcements.recordRequest("e", 1, start + 2500ms);
+    CHECK(announcements.timeToRequest("e", 1, start + 2500ms) == Duration::zero());
+}
--- a/Tests/Platform/TestRequestHeaders.cpp
+++ b/Tests/Platform/TestRequestHeaders.cpp
@@ -124,3 +124,21 @@
     CHECK_FALSE(repeated.requestsPerSecond);
     CHECK_FALSE(repeated.problem.empty());
 }
+
+TEST_CASE("An endpoint's word that it leaves or is closed is parsed and malformed ones are ignored", "[platform]")
+{
+    CHECK(Platform::readAnswer(200, {{"Server-Leaving", "1"}}).announcement.isLeaving);
+    CHECK_FALSE(Platform::readAnswer(200, {{"Server-Leaving", "0"}}).announcement.isLeaving);
+    CHECK(Platform::readAnswer(503, {{"X-Not-Executed", "1"}, {"Retry-After", "1.5"}}).announcement.closedFor == 1500ms);
+    // Another answer's Retry-After is meant for the caller.
+    CHECK_FALSE(Platform::readAnswer(503, {{"Retry-After", "1.5"}}).announcement.closedFor);
+    CHECK_FALSE(Platform::readAnswer(200, {{"Retry-After", "1.5"}}).announcement.closedFor);
+    for (const std::string value : {"-1", "soon", "", "nan", "99999999", "Fri, 31 Dec 1999 23:59:59 GMT", "1, 2"}) {
+        INFO(value);
+        const EndpointAnnouncement announcement =
+            Platform::readAnswer(503, {{"X-Not-Executed", "1"}, {"Retry-After", value}, {"Server-Leaving", value}}).announcement;
+        CHECK_FALSE(announcement.closedFor);
+        CHECK_FALSE(announcement.isLeaving);
+        CHECK_FALSE(announcement.problem.empty());
+    }
+}
