Rank the endpoints of a trial once for each request, and sum its loads where they are counted

Read through as a newcomer: the hash of each endpoint was computed in every comparison, loads were kept by endpoint for their sum alone, and one function was unused. No decision changes; TestLibGateway passes but for its listed case.

--- a/Libraries/LibEntry/RolloutController.cpp
+++ b/Libraries/LibEntry/RolloutController.cpp
@@ -94,11 +94,11 @@
         }
         ServiceLoads loads;
         for (const EndpointEntry *endpoint : this->state.endpoints.ofService(service)) {
-            loads.runningByEndpoint[endpoint->id] = this->state.chooser.loads().find(endpoint->id).concurrentRequests();
+            loads.running += this->state.chooser.loads().find(endpoint->id).concurrentRequests();
             loads.slots = std::max(loads.slots, endpoint->slots);
             loads.stableEndpoints += endpoint->version == rollout.order.target ? 0 : 1;
         }
-        this->state.versions.recordLoads(service, std::move(loads), now);
+        this->state.versions.recordLoads(service, loads, now);
     }
 }
 
--- a/Libraries/LibGateway/VersionPolicy.cpp
+++ b/Libraries/LibGateway/VersionPolicy.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
+#include <utility>
 
 namespace Godwitfork
 {
@@ -39,17 +41,22 @@
 }
 
 /// Returns the endpoints that the plan uses, in an order that is the same on all instances.
-std::vector<const EndpointEntry *> plannedEndpoints(std::vector<const EndpointEntry *> candidate, const CandidatePlan &plan)
+std::vector<const EndpointEntry *> plannedEndpoints(const std::vector<const EndpointEntry *> &candidate, const CandidatePlan &plan)
 {
     const auto count = static_cast<std::size_t>(plan.endpointCount);
     if (count == 0 || count >= candidate.size()) {
         return candidate;
     }
-    const auto rank = [](const EndpointEntry *endpoint) { return std::pair(rendezvousScore(endpoint->version, endpoint->id), endpoint->id); };
-    std::sort(candidate.begin(), candidate.end(), [&](const EndpointEntry *left, const EndpointEntry *right) { return rank(left) < rank(right); });
+    std::vector<std::pair<std::uint64_t, const EndpointEntry *>> ranked;
+    for (const EndpointEntry *endpoint : candidate) {
+        ranked.emplace_back(rendezvousScore(endpoint->version, endpoint->id), endpoint);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.first, left.second->id) < std::tie(right.first, right.second->id);
+    });
     std::vector<const EndpointEntry *> planned;
     for (std::size_t i = 0; i < count; ++i) {
-        planned.push_back(candidate[(static_cast<std::size_t>(plan.firstEndpoint) + i) % candidate.size()]);
+        planned.push_back(ranked[(static_cast<std::size_t>(plan.firstEndpoint) + i) % ranked.size()].second);
     }
     return planned;
 }
@@ -170,7 +177,7 @@
         if (candidate.empty() || query.isRetry) {
             return candidate.empty() ? stable : candidate;
         }
-        return plannedEndpoints(std::move(candidate), plan);
+        return plannedEndpoints(candidate, plan);
     }
     // In the first half of the roll-out, candidate endpoints never replace stable ones, even if no stable endpoint is left.
     return stable.empty() && mayUseEither ? candidate : stable;
@@ -257,32 +264,21 @@
     }
 }
 
-void VersionPolicy::recordLoads(const std::string &service, ServiceLoads loads, MonotonicTime now)
+void VersionPolicy::recordLoads(const std::string &service, const ServiceLoads &loads, MonotonicTime now)
 {
     const auto known = this->followed.find(service);
     if (known == this->followed.end()) {
         return;
     }
     FollowedRollout &rollout = known->second;
-    int running = 0;
-    for (const auto &[endpoint, requests] : loads.runningByEndpoint) {
-        running += requests;
+    double weight = 1;
+    if (rollout.loadsRecordedAt) {
+        const std::chrono::duration<double> elapsed = now - *rollout.loadsRecordedAt;
+        weight = 1 - std::exp(-elapsed / std::chrono::duration<double>(runningMeanTime));
     }
-    const bool isFirst = rollout.loads.runningByEndpoint.empty();
-    const double elapsed = std::chrono::duration<double>(now - rollout.loadsRecordedAt).count();
-    const double weight = isFirst ? 1 : 1 - std::exp(-elapsed / std::chrono::duration<double>(runningMeanTime).count());
-    rollout.meanRunning += weight * (running - rollout.meanRunning);
+    rollout.meanRunning += weight * (loads.running - rollout.meanRunning);
     rollout.loadsRecordedAt = now;
-    rollout.loads = std::move(loads);
-}
-
-std::int64_t VersionPolicy::ownCandidateFailures() const
-{
-    std::int64_t failures = 0;
-    for (const auto &[service, rollout] : this->followed) {
-        failures += isRunning(rollout.order.state) ? totals(rollout.own).candidate.failures : 0;
-    }
-    return failures;
+    rollout.loads = loads;
 }
 
 bool VersionPolicy::judge(FollowedRollout &rollout, MonotonicTime now)
--- a/Libraries/LibGateway/VersionPolicy.h
+++ b/Libraries/LibGateway/VersionPolicy.h
@@ -14,9 +14,10 @@
 namespace Godwitfork
 {
 
-/// Requests in progress at a service's endpoints, over all instances.
+/// Load of a service's endpoints.
 struct ServiceLoads {
-    std::map<std::string, int> runningByEndpoint;
+    /// Requests in progress at all endpoints, of all instances.
+    int running = 0;
     /// Slots of one endpoint.
     int slots = 1;
     /// Number of endpoints of other versions than the target.
@@ -44,7 +45,7 @@
     ServiceLoads loads;
     /// Mean of the requests in progress at all endpoints over the last seconds, and when it was updated.
     double meanRunning = 0;
-    MonotonicTime loadsRecordedAt;
+    std::optional<MonotonicTime> loadsRecordedAt;
     /// Observations when this instance learned of the last step; empty before.
     std::optional<TrialObservations> beforeLastStep;
     /// Observations that were judged last, and the result.
@@ -108,9 +109,7 @@
     /// Whether the version is under trial and was not accepted yet.
     bool isCandidate(const std::string &service, const std::string &version) const;
     /// Replaces the loads of a service under roll-out, from which the candidate's part of the requests is planned.
-    void recordLoads(const std::string &service, ServiceLoads loads, MonotonicTime now);
-    /// Number of failures of candidates that this instance has counted in running trials.
-    std::int64_t ownCandidateFailures() const;
+    void recordLoads(const std::string &service, const ServiceLoads &loads, MonotonicTime now);
     /// Evaluates all running trials and returns the services whose candidate was found bad by this call.
     std::vector<std::string> evaluate(MonotonicTime now);
     /// Returns the state of a running roll-out to write to the store now; empty if there is none. `rank` is the instance's position among
--- a/Tests/LibGateway/TrialFleet.cpp
+++ b/Tests/LibGateway/TrialFleet.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace Godwitfork
 {
@@ -248,9 +249,7 @@
         ServiceLoads loads;
         loads.slots = this->scenario.slots;
         loads.stableEndpoints = this->scenario.endpointsPerVersion;
-        for (std::size_t i = 0; i < this->endpoints.size(); ++i) {
-            loads.runningByEndpoint[this->endpoints[i].id] = this->running[i];
-        }
+        loads.running = std::accumulate(this->running.begin(), this->running.end(), 0);
         for (int i = 0; i < this->scenario.instances; ++i) {
             this->policies[i].recordLoads(service, loads, now);
             this->policies[i].evaluate(now);
