--- a/Libraries/LibGateway/VersionPolicy.cpp
+++ b/Libraries/LibGateway/VersionPolicy.cpp
@@ -48,6 +48,7 @@
         return candidate;
     }
     std::vector<std::pair<std::uint64_t, const EndpointEntry *>> ranked;
+    ranked.reserve(candidate.size());
     for (const EndpointEntry *endpoint : candidate) {
         ranked.emplace_back(rendezvousScore(endpoint->version, endpoint->id), endpoint);
     }
@@ -55,6 +56,7 @@
         return std::tie(left.first, left.second->id) < std::tie(right.first, right.second->id);
     });
     std::vector<const EndpointEntry *> planned;
+    planned.reserve(count);
     for (std::size_t i = 0; i < count; ++i) {
         planned.push_back(ranked[(static_cast<std::size_t>(plan.firstEndpoint) + i) % ranked.size()].second);
     }
