Review: show that a roll-out with contradictory ends takes a service away for good

Cause: an instance that has not heard of 'completed' may still find the version bad, every instance takes that over, and the filter then leaves only the stopped endpoints. Nothing is fixed.

--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -475,6 +475,13 @@
         this->objects[kind].erase(found);
     }
 
+    std::string status(const std::string &kind, const std::string &name)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->objects[kind].find(name);
+        return found == this->objects[kind].end() ? std::string() : found->second.status;
+    }
+
     std::atomic<long> calls = 0;
 
 private:
@@ -658,6 +665,8 @@
     struct Answer {
         int status = 200;
         bool hasRun = true;
+        /// Whether the connection ends without the answer, after the request has run.
+        bool isLost = false;
         std::vector<std::pair<std::string, std::string>> headers;
     };
 
@@ -682,7 +691,7 @@
         const Json spec = {{"service", this->service},
                            {"address", this->server.address.text()},
                            {"zone", this->zone},
-                           {"version", "v1"},
+                           {"version", this->version},
                            {"slots", 6},
                            {"state", state},
                            {"coldRemainingMs", 0},
@@ -707,6 +716,7 @@
     std::string id;
     std::string service;
     std::string zone;
+    std::string version = "v1";
     double work = 0.06;
     std::size_t answerBytes = 800;
     int keepAliveSeconds = 15;
@@ -739,6 +749,9 @@
             if (answer.hasRun) {
                 sleepFor(this->work);
             }
+            if (answer.isLost) {
+                return;
+            }
             headers.insert(headers.end(), answer.headers.begin(), answer.headers.end());
             headers.emplace_back("X-Response-Signature", "sig." + this->id + "." + attempt);
             headers.emplace_back("Keep-Alive", "timeout=" + std::to_string(this->keepAliveSeconds));
