Count and name the store's objects that are not understood

A foreign object was logged once for each time that it was read, at no bounded rate, with a free text alone and without its revision, and nothing counted it. Each now has a cause (unreadable, duplicate_field, missing_field, wrong_type, invalid_value); the line item.ignored names kind, name, cause and revision at most once a second, with the number of items that it leaves out. EntryMetrics exports the counts by source and cause.

--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -58,10 +58,10 @@
     }
 }
 
-void logProblem(CatalogKind kind, const CatalogChange &change)
+void recordProblem(EntryState &state, CatalogKind kind, const CatalogChange &change, MonotonicTime now)
 {
-    if (!change.problem.empty()) {
-        logEvent(LogLevel::Warning, "store.object_ignored", {{"kind", catalogKindName(kind)}, {"name", change.name}, {"problem", change.problem}});
+    if (change.fault != ItemFault::None) {
+        recordIgnored(state.ignoredItems, {catalogKindName(kind), change.fault, change.name, change.revision, change.problem}, now);
     }
 }
 
@@ -83,7 +83,7 @@
 {
     std::vector<EndpointEntry> entries;
     for (const CatalogChange &change : page.changes) {
-        logProblem(CatalogKind::Endpoints, change);
+        recordProblem(state, CatalogKind::Endpoints, change, now);
         if (change.object) {
             entries.push_back(std::get<EndpointEntry>(*change.object));
         }
@@ -124,7 +124,7 @@
 
 void applyCatalogChange(EntryState &state, CatalogKind kind, const CatalogChange &change, SnapshotTrust trust, MonotonicTime now)
 {
-    logProblem(kind, change);
+    recordProblem(state, kind, change, now);
     switch (kind) {
     case CatalogKind::Configuration:
         if (change.object) {
--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -43,6 +43,10 @@
                                                               .Name("godwitfork_entry_trial_answers")
                                                               .Help("Answers counted for a version under trial, by service, version and result")
                                                               .Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &ignoredItems = prometheus::BuildGauge()
+                                                              .Name("godwitfork_entry_ignored_items")
+                                                              .Help("Store objects and items of peers that were not understood, by source and cause")
+                                                              .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &gauges =
         prometheus::BuildGauge().Name("godwitfork_entry_belief").Help("What the process believes, by name").Register(this->registry);
 };
@@ -95,6 +99,9 @@
         this->state->gauges.Add({{"name", kind + "_copy_age_seconds"}}).Set(age);
     }
     this->state->gauges.Add({{"name", "ready"}}).Set(gauges.isReady ? 1 : 0);
+    for (const auto &[key, count] : gauges.ignoredItems) {
+        this->state->ignoredItems.Add({{"source", key.first}, {"cause", key.second}}).Set(static_cast<double>(count));
+    }
     return prometheus::TextSerializer().Serialize(this->state->registry.Collect());
 }
 
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -2,9 +2,11 @@
 
 #include "LibCore/Time.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace Godwitfork
 {
@@ -17,6 +19,8 @@
     /// Time since the copy of each catalog kind was last known to match the store, by kind name.
     std::map<std::string, double> copyAgeSeconds;
     bool isReady = false;
+    /// Number of items that were not understood since the start, by source and cause.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> ignoredItems;
 };
 
 /// Metrics of one entry process in the Prometheus text format.
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Random.h"
 #include "LibEntry/EntrySettings.h"
+#include "LibEntry/IgnoredItems.h"
 #include "LibGateway/Catalog.h"
 #include "LibGateway/CatalogFreshness.h"
 #include "LibGateway/EndpointAnnouncements.h"
@@ -43,6 +44,8 @@
     EndpointAnnouncements announcements;
     /// Time until which further malformed header values of endpoints are not logged.
     MonotonicTime malformedHeadersLoggedUntil;
+    /// Store objects and items of other instances' messages that were not understood.
+    IgnoredItems ignoredItems;
     ConfidenceGains confidenceGains;
     PromptQuarantine promptQuarantine;
     /// Retry budget of each service, by service name.
--- a/Libraries/LibGateway/Catalog.cpp
+++ b/Libraries/LibGateway/Catalog.cpp
@@ -31,6 +31,25 @@
     return "configuration";
 }
 
+const char *itemFaultName(ItemFault fault)
+{
+    switch (fault) {
+    case ItemFault::None:
+        return "none";
+    case ItemFault::Unreadable:
+        return "unreadable";
+    case ItemFault::DuplicateField:
+        return "duplicate_field";
+    case ItemFault::MissingField:
+        return "missing_field";
+    case ItemFault::WrongType:
+        return "wrong_type";
+    case ItemFault::InvalidValue:
+        return "invalid_value";
+    }
+    return "none";
+}
+
 const char *catalogFailureName(CatalogFailure failure)
 {
     switch (failure) {
--- a/Libraries/LibGateway/Catalog.h
+++ b/Libraries/LibGateway/Catalog.h
@@ -42,11 +42,30 @@
 
 using CatalogObject = std::variant<std::shared_ptr<const RouteConfiguration>, EndpointEntry, RolloutOrder>;
 
+/// Why an object of the store, or an item of another instance's message, is not understood.
+enum class ItemFault {
+    None,
+    /// The bytes are no valid text, or are nested too deeply.
+    Unreadable,
+    DuplicateField,
+    MissingField,
+    WrongType,
+    /// A value is unknown or out of its range.
+    InvalidValue,
+};
+
+const char *itemFaultName(ItemFault fault);
+
 /// Change of one catalog object, with its new state.
 struct CatalogChange {
+    /// Empty if the name cannot be read.
     std::string name;
+    /// Revision of the object's last change; 0 if it cannot be read.
+    CatalogRevision revision = 0;
     /// New state of the object; empty if the object was removed or is invalid.
     std::optional<CatalogObject> object;
+    /// Kind of reason why the object is invalid; `None` if it is valid or was removed.
+    ItemFault fault = ItemFault::None;
     /// Reason why the object is invalid; empty if it is valid or was removed.
     std::string problem;
     /// Text of a configuration as stored, relayed to instances that cannot reach the store; empty for other kinds.
