--- a/Tests/Platform/TestCatalogDecoder.cpp
+++ b/Tests/Platform/TestCatalogDecoder.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <random>
 
 using namespace Godwitfork;
@@ -184,3 +185,67 @@
     REQUIRE(change.object);
     CHECK(std::get<RolloutOrder>(*change.object).state == RolloutState::Ordered);
 }
+
+TEST_CASE("Bytes of one entry that no parser accepts leave the other entries of a list or of a page of events as they are", "[platform]")
+{
+    // Guards against RECOVER and DRAIN: one entry that was not UTF-8 hid all endpoints, and restarted instances never became ready.
+    const std::string good = endpointObject().dump();
+    const auto with = [&good](const std::string &part, const std::string &odd) {
+        std::string text = good;
+        return text.replace(text.find(part), part.size(), odd);
+    };
+    const std::vector<std::string> unreadable = {with("10.0.0.9:8080", "\xff\xfe"),
+                                                 with("10.0.0.9:8080", "\xc0\xaf"),
+                                                 with("10.0.0.9:8080", "\xed\xa0\x80"),
+                                                 with("10.0.0.9:8080", R"(\udcff)"),
+                                                 with("10.0.0.9:8080", R"(\ud800\u0041)"),
+                                                 with("10.0.0.9:8080", R"(\x41\")"),
+                                                 with("10.0.0.9:8080", std::string("\0", 1)),
+                                                 with("10.0.0.9:8080", std::string(1'000'000, '\xff')),
+                                                 with("\"slots\":64", "\"slots\":0x40"),
+                                                 with("\"slots\":64", "\"slots\":NaN"),
+                                                 with("\"slots\":64", "\"slots\":\xff"),
+                                                 with("\"slots\":64", "\"slots\""),
+                                                 with("\"slots\":64", ""),
+                                                 with("\"slots\":64", "\xff\xfe:64")};
+    for (const std::string &odd : unreadable) {
+        INFO(odd.substr(0, 300));
+        for (const std::string &items : {odd + "," + good, good + "," + odd, good + "," + odd + "," + good}) {
+            const auto list = Platform::decodeList(CatalogKind::Endpoints, R"({"entries":[)" + items + R"(],"hasMore":false,"at":7})");
+            REQUIRE(list);
+            CHECK(list.value().page.revision == 7);
+            const auto understood = static_cast<std::size_t>(std::count_if(
+                list.value().page.changes.begin(), list.value().page.changes.end(), [](const auto &change) { return change.object.has_value(); }));
+            CHECK(understood + 1 == list.value().page.changes.size());
+            for (const CatalogChange &change : list.value().page.changes) {
+                CHECK(change.name == "i-1");
+                CHECK(change.object.has_value() == change.problem.empty());
+            }
+        }
+        const std::string events = R"({"events":[{"object":)" + odd + R"(},{"deleted":true,"object":)" + odd + R"(},{"object":)" + good + R"(}],"at":7})";
+        const auto page = Platform::decodeEvents(CatalogKind::Endpoints, events);
+        REQUIRE(page);
+        REQUIRE(page.value().changes.size() == 3);
+        CHECK_FALSE(page.value().changes[0].problem.empty());
+        // A name whose entry was removed is removed, whatever the entry held.
+        CHECK(page.value().changes[1].name == "i-1");
+        CHECK(page.value().changes[1].problem.empty());
+        CHECK_FALSE(page.value().changes[1].object);
+        CHECK(page.value().changes[2].object);
+    }
+}
+
+TEST_CASE("An event that is no object leaves the other events of a page as they are", "[platform]")
+{
+    // Guards against RECOVER and DRAIN: the page was refused, and the follower asked for it again without end.
+    const std::string good = R"({"object":)" + endpointObject().dump() + "}";
+    for (const std::string odd : {"7", "null", "[]", "{}", R"({"object":7})", R"({"object":{"metadata":[]}})", "\xff", R"("\ud800")"}) {
+        INFO(odd);
+        const auto page = Platform::decodeEvents(CatalogKind::Endpoints, R"({"events":[)" + odd + "," + good + R"(],"at":7})");
+        REQUIRE(page);
+        REQUIRE(page.value().changes.size() == 2);
+        CHECK_FALSE(page.value().changes[0].object);
+        CHECK_FALSE(page.value().changes[0].problem.empty());
+        CHECK(page.value().changes[1].object);
+    }
+}
