Continue a list after the last name that can be read

A page whose last object has no readable name ended the list, so the endpoints after it were missing. The next page starts after the last readable name.

--- a/Tests/Platform/TestCatalogDecoder.cpp
+++ b/Tests/Platform/TestCatalogDecoder.cpp
@@ -284,3 +284,14 @@
         CHECK(page.value().changes[1].object);
     }
 }
+
+TEST_CASE("A page of a list is continued after the last name that can be read", "[platform]")
+{
+    // Guards against endpoints that are missing: a page that ended with an unreadable name ended the list.
+    const std::string good = endpointObject().dump();
+    const std::string nameless = R"({"metadata":{"name":")" + std::string("\xff") + R"("}})";
+    const auto list = Platform::decodeList(CatalogKind::Endpoints, R"({"entries":[)" + good + "," + nameless + R"(],"hasMore":true,"at":7})");
+    REQUIRE(list);
+    CHECK(list.value().hasMore);
+    CHECK(list.value().lastName == "i-1");
+}
