--- a/Tests/Platform/TestCatalogDecoder.cpp
+++ b/Tests/Platform/TestCatalogDecoder.cpp
@@ -295,3 +295,38 @@
     CHECK(list.value().hasMore);
     CHECK(list.value().lastName == "i-1");
 }
+
+TEST_CASE("Numbers that no time or count can hold make a configuration or roll-out not understood", "[platform]")
+{
+    // Guards against time limits that overflow: a time of 1e300 ms was converted to a negative one.
+    const std::string configuration = configurationObject().dump();
+    for (const std::string field : {"timeoutMs",
+                                    "targetLatencyMs",
+                                    "targetItlMs",
+                                    "priority",
+                                    "maxAttempts",
+                                    "slots",
+                                    "kvCapacity",
+                                    "stride",
+                                    "cost",
+                                    "weight",
+                                    "maxHeaderBytes",
+                                    "maxBodyBytes",
+                                    "headerTimeoutMs",
+                                    "idleTimeoutMs",
+                                    "version"}) {
+        for (const std::string number : {"1e300", "-1e300", "1e400", "99999999999999999999999", "\"7\"", "[]"}) {
+            INFO(field << " " << number);
+            std::string odd = configuration;
+            const std::size_t start = odd.find('"' + field + "\":") + field.size() + 3;
+            odd.replace(start, odd.find_first_of(",}]", start) - start, number);
+            const CatalogChange change = Platform::decodeObjectText(CatalogKind::Configuration, odd);
+            CHECK_FALSE(change.object);
+            CHECK(change.fault != ItemFault::None);
+        }
+    }
+    for (const std::string number : {"1e300", "-1", "1e400", "null"}) {
+        const std::string rollout = R"({"metadata":{"name":"pool","revision":3},"spec":{"service":"pool","target":"v2","durationS":)" + number + "}}";
+        CHECK_FALSE(Platform::decodeObjectText(CatalogKind::Rollouts, rollout).object);
+    }
+}
