--- a/Tests/Platform/TestCatalogDecoder.cpp
+++ b/Tests/Platform/TestCatalogDecoder.cpp
@@ -330,3 +330,16 @@
         CHECK_FALSE(Platform::decodeObjectText(CatalogKind::Rollouts, rollout).object);
     }
 }
+
+TEST_CASE("A configuration under another name and a roll-out under the name of another service are not understood", "[platform]")
+{
+    // Guards against CONFIG and EXPOSURE: another writer's object with a higher version took the place of the configuration in force.
+    nlohmann::json configuration = configurationObject();
+    CHECK(Platform::decodeObject(CatalogKind::Configuration, configuration).object);
+    configuration["metadata"]["name"] = "other";
+    CHECK_FALSE(Platform::decodeObject(CatalogKind::Configuration, configuration).object);
+    nlohmann::json rollout = {{"metadata", {{"name", "pool"}, {"revision", 4}}}, {"spec", {{"service", "pool"}, {"target", "v3"}, {"durationS", 12}}}};
+    CHECK(Platform::decodeObject(CatalogKind::Rollouts, rollout).object);
+    rollout["metadata"]["name"] = "other";
+    CHECK_FALSE(Platform::decodeObject(CatalogKind::Rollouts, rollout).object);
+}
