Count items of peers' messages that are not understood

PeerReport and PeerSummary carry the faults of their items by cause; PeerExchange counts them and names the peer in item.ignored. Nothing fills them yet.

--- a/Libraries/LibEntry/IgnoredItems.cpp
+++ b/Libraries/LibEntry/IgnoredItems.cpp
@@ -40,7 +40,7 @@
 
 void recordIgnored(IgnoredItems &items, const IgnoredItem &item, MonotonicTime now)
 {
-    if (!items.record(item.source, item.fault, 1, now)) {
+    if (!items.record(item.source, item.fault, item.count, now)) {
         return;
     }
     logEvent(LogLevel::Warning,
@@ -50,6 +50,7 @@
               {"cause", itemFaultName(item.fault)},
               {"revision", item.revision},
               {"problem", item.problem.substr(0, maxLoggedBytes)},
+              {"count", item.count},
               {"unlogged", items.takeUnlogged()}});
 }
 
--- a/Libraries/LibEntry/IgnoredItems.h
+++ b/Libraries/LibEntry/IgnoredItems.h
@@ -20,6 +20,7 @@
     std::string name;
     CatalogRevision revision = 0;
     std::string problem;
+    std::uint64_t count = 1;
 };
 
 /// Counts items that were not understood, and limits how many of them are logged.
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -226,9 +226,17 @@
         logEvent(LogLevel::Warning, "peer.malformed", {{"peer", toText(address)}, {"message", summary.error().message}});
         co_return;
     }
+    this->recordFaults(toText(address), summary.value().faults, now);
     this->applySummary(summary.value(), link.sent, now);
 }
 
+void PeerExchange::recordFaults(const std::string &peer, const ItemFaults &faults, MonotonicTime now)
+{
+    for (const auto &[fault, count] : faults) {
+        recordIgnored(this->state.ignoredItems, {"peer", fault, peer, 0, {}, count}, now);
+    }
+}
+
 void PeerExchange::applySummary(const PeerSummary &summary, const PeerReport &own, MonotonicTime now)
 {
     applyLeavingEndpoints(this->state, summary.leaving);
@@ -302,6 +310,7 @@
         return response;
     }
     const FleetMember &sender = report.value().sender;
+    this->recordFaults(sender.address, report.value().faults, now);
     this->directory.fleet().record(sender, now);
     const bool isOwnDomain = sender.failureDomain == this->state.settings.failureDomain;
     // Another failure domain sums its reports itself; its instances report here only to learn members.
@@ -326,6 +335,7 @@
         response.status = 400;
         return response;
     }
+    this->recordFaults(summary.value().failureDomain, summary.value().faults, now);
     this->directory.fleet().merge(summary.value().members, now);
     this->state.promptQuarantine.merge(summary.value().promptEvidence, now);
     // A new configuration or a bad version is passed on without waiting for the next report.
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -63,6 +63,8 @@
     /// Returns the seeds that get the next report besides the hubs.
     std::vector<HttpAddress> seedTargets(MonotonicTime now);
     Duration reportDelay() const;
+    /// Counts the items of a peer's message that were not understood.
+    void recordFaults(const std::string &peer, const ItemFaults &faults, MonotonicTime now);
     void applySummary(const PeerSummary &summary, const PeerReport &own, MonotonicTime now);
     void applyPlacements(const CachePlacements &placements);
     /// Returns the encoded summary; omits the members if the sender has the same list.
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -101,6 +101,9 @@
     auto operator<=>(const TrialReport &) const = default;
 };
 
+/// Number of items that were not understood, by cause.
+using ItemFaults = std::map<ItemFault, std::uint64_t>;
+
 struct FleetMember {
     std::string instance;
     /// Address of the instance's peer listener.
@@ -137,6 +140,8 @@
     std::vector<PromptPartEvidence> promptEvidence;
     /// What the sender has heard endpoints say of their limits.
     std::vector<EndpointLimitReport> limits;
+    /// Items of a received message that were not understood and are left out; not sent.
+    ItemFaults faults;
 
     auto operator<=>(const PeerReport &) const = default;
 };
@@ -164,6 +169,8 @@
     std::vector<TrialReport> trials;
     std::vector<PromptPartEvidence> promptEvidence;
     std::vector<EndpointLimitReport> limits;
+    /// Items of a received message that were not understood and are left out; not sent.
+    ItemFaults faults;
 
     auto operator<=>(const PeerSummary &) const = default;
 };
@@ -174,7 +181,7 @@
 /// Encode a message as a CBOR array of its fields in the order of their declaration.
 std::string encodePeerReport(const PeerReport &report);
 std::string encodePeerSummary(const PeerSummary &summary);
-/// Decode a message; fail with `malformed_report`.
+/// Decode a message, each item of its lists by itself; fail with `malformed_report` if it is no CBOR or its own fields are not valid.
 ErrorOr<PeerReport> decodePeerReport(std::string_view bytes);
 ErrorOr<PeerSummary> decodePeerSummary(std::string_view bytes);
 
