Log and count what is in progress in each phase of a stop

The logs could not tell a request that a stop cut from a connection that its caller gave up. Each phase of the stop now has one line with the requests in progress, the open connections and those with bytes that are not read yet; a request's last line says when in the stop it came and how long before the end of the process it ended; a counter has the outcomes.

--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -24,10 +24,6 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 /// Timeout of one store call. The store usually answers within milliseconds, but can be slow for a while.
 constexpr Duration storeTimeout = std::chrono::milliseconds(1500);
-/// Time until the balancer stops sending callers: it checks readiness every second and removes an instance after two failures.
-constexpr Duration balancerDelay = std::chrono::milliseconds(2500);
-/// Part of the stop limit reserved for the exit of the process itself.
-constexpr Duration exitMargin = std::chrono::milliseconds(400);
 /// Interval of checks for a settings file that changed without a signal.
 constexpr Duration settingsCheckInterval = std::chrono::seconds(5);
 constexpr const char *promptTrialTask = "prompt_trial";
@@ -104,7 +100,7 @@
     spawn(this->context, [this] { return this->waitForReload(); });
     spawn(this->context, [this] { return this->waitForStop(); });
     this->context.run();
-    logEvent(LogLevel::Info, "stopped", {{"open_connections", this->callers.openConnections()}});
+    this->logStop("stopped");
     flushLog();
 }
 
@@ -234,19 +230,35 @@
     }
 }
 
+void EntryService::logStop(const char *phase, int signal) const
+{
+    nlohmann::ordered_json fields {{"requests", this->state.requests.count()},
+                                   {"open_connections", this->callers.openConnections()},
+                                   {"unread_connections", this->callers.connectionsWithUnreadBytes()}};
+    if (this->state.stop) {
+        const MonotonicTime now = monotonicNow();
+        fields["elapsed_ms"] = toMilliseconds(now - this->state.stop->began);
+        fields["left_ms"] = toMilliseconds(this->state.stop->endsAt - now);
+    }
+    if (signal > 0) {
+        fields["signal"] = signal;
+    }
+    logEvent(LogLevel::Info, phase, fields);
+}
+
 Asio::awaitable<void> EntryService::waitForStop()
 {
     boost::system::error_code error;
     const int signal = co_await this->stopSignals.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
-    const MonotonicTime end = monotonicNow() + this->state.settings.stopLimit - exitMargin;
-    logEvent(LogLevel::Info, "stopping", {{"signal", signal}, {"open_connections", this->callers.openConnections()}});
-    this->state.stopping = true;
+    this->state.stop = makeStopSchedule(monotonicNow(), this->state.settings.stopLimit);
+    this->logStop("stopping", signal);
     // Callers that arrive before the balancer removes this instance are still served.
     this->callers.disableKeepAlive();
-    Asio::steady_timer timer(this->context, balancerDelay);
+    Asio::steady_timer timer(this->context, this->state.stop->drainAt);
     co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+    this->logStop("stop.drain");
     this->callers.stop();
-    while (this->callers.openConnections() > 0 && monotonicNow() < end) {
+    while (this->callers.openConnections() > 0 && monotonicNow() < this->state.stop->endsAt) {
         timer.expires_after(tickInterval);
         co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
     }
--- a/Libraries/LibEntry/EntryService.h
+++ b/Libraries/LibEntry/EntryService.h
@@ -36,6 +36,8 @@
     boost::asio::awaitable<void> runPeriodicTasks();
     boost::asio::awaitable<void> waitForStop();
     boost::asio::awaitable<void> waitForReload();
+    /// Logs what is in progress at the start of a phase of the stop; `signal` is 0 if it did not start with one.
+    void logStop(const char *phase, int signal = 0) const;
     void applyLimits();
     void applyPeerState(MonotonicTime now);
     void reloadSettings(const char *cause);
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -31,7 +31,7 @@
 
 bool EntryState::isReady(MonotonicTime now) const
 {
-    return this->hasLoadedCatalog() && !this->versions.isAwaitingAge(now) && !this->stopping;
+    return this->hasLoadedCatalog() && !this->versions.isAwaitingAge(now) && !this->stop;
 }
 
 CatalogLimits EntryState::catalogLimits() const
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Random.h"
 #include "LibEntry/EntrySettings.h"
+#include "LibEntry/RequestsInProgress.h"
 #include "LibGateway/Catalog.h"
 #include "LibGateway/CatalogFreshness.h"
 #include "LibGateway/EndpointAnnouncements.h"
@@ -11,6 +12,7 @@
 #include "LibGateway/PeerReport.h"
 #include "LibGateway/PromptQuarantine.h"
 #include "LibGateway/RouteTable.h"
+#include "LibGateway/StopRules.h"
 #include "LibGateway/StoreProbe.h"
 #include "LibGateway/VersionPolicy.h"
 #include "LibRouting/RetryBudget.h"
@@ -53,7 +55,9 @@
     /// Time at which another instance first reported a configuration newer than the one in force; empty if there is none.
     std::optional<MonotonicTime> newerConfigurationHeardAt;
     RandomSource random;
-    bool stopping = false;
+    RequestsInProgress requests;
+    /// Times of the stop of the process; empty before it.
+    std::optional<StopSchedule> stop;
 
     /// Whether the configuration, endpoints and roll-outs have all been read from the store.
     bool hasLoadedCatalog() const;
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -82,12 +82,7 @@
 } // namespace
 
 RequestRun::RequestRun(EntryContext &context, HttpExchange &exchange)
-    : context(context)
-    , state(context.state)
-    , exchange(exchange)
-    , caller(std::make_shared<CallerConnection>())
-    , started(monotonicNow())
-    , modelSelection(context.state)
+    : context(context), state(context.state), exchange(exchange), caller(context.state.requests.add()), started(monotonicNow()), modelSelection(context.state)
 {
     this->exchange.onClientDisconnect([caller = this->caller] {
         caller->gone = true;
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -7,6 +7,8 @@
 #include "LibHttp/HttpClient.h"
 #include "LibHttp/HttpServer.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,12 +29,6 @@
     EntryMetrics &metrics;
 };
 
-/// Connection state of a caller, shared with the callback that runs when the caller disconnects.
-struct CallerConnection {
-    bool gone = false;
-    std::shared_ptr<HttpCallCanceller> canceller;
-};
-
 /// State of an attempt in progress at one endpoint.
 struct AttemptInProgress {
     ChoiceQuery query;
@@ -123,6 +119,8 @@
     void recordOutputSpeed(std::int64_t events, Duration elapsed);
     void logEscalation() const;
     void logEnd() const;
+    /// Counts the request if the process is stopping, and adds the times of the stop to its log line.
+    void recordStop(nlohmann::ordered_json &fields, MonotonicTime now) const;
 
     EntryContext &context;
     EntryState &state;
--- a/Libraries/LibEntry/RequestRunLog.cpp
+++ b/Libraries/LibEntry/RequestRunLog.cpp
@@ -73,6 +73,17 @@
               {"elapsed_ms", toMilliseconds(monotonicNow() - this->started)}});
 }
 
+void RequestRun::recordStop(nlohmann::ordered_json &fields, MonotonicTime now) const
+{
+    if (!this->state.stop) {
+        return;
+    }
+    fields["stop_arrival_ms"] = toMilliseconds(this->started - this->state.stop->began);
+    fields["stop_left_ms"] = toMilliseconds(this->state.stop->endsAt - now);
+    const char *outcome = this->reason == "stream_broken" ? "broken_off" : "answered";
+    this->context.metrics.recordStopRequest(this->caller->gone ? "caller_gone" : outcome);
+}
+
 void RequestRun::logEnd() const
 {
     const MonotonicTime now = monotonicNow();
@@ -109,6 +120,7 @@
     if (!this->reason.empty()) {
         fields["reason"] = this->reason;
     }
+    this->recordStop(fields, now);
     const bool isServed = this->status >= 200 && this->status < 300 && this->reason.empty();
     logEvent(isServed ? LogLevel::Info : LogLevel::Warning, "request.ended", fields);
     this->context.metrics.recordRequest(this->route ? this->route->name : "none", this->status, this->caller->gone, now - this->started);
--- /dev/null
+++ b/Libraries/LibEntry/RequestsInProgress.cpp
@@ -0,0 +1,22 @@
+#include "LibEntry/RequestsInProgress.h"
+
+namespace Godwitfork
+{
+
+std::shared_ptr<CallerConnection> RequestsInProgress::add()
+{
+    auto owned = std::make_unique<CallerConnection>();
+    CallerConnection *request = owned.get();
+    this->requests->insert(request);
+    return {owned.release(), [requests = this->requests](CallerConnection *ended) {
+                requests->erase(ended);
+                delete ended;
+            }};
+}
+
+int RequestsInProgress::count() const
+{
+    return static_cast<int>(this->requests->size());
+}
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Libraries/LibEntry/RequestsInProgress.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "LibHttp/HttpClient.h"
+
+#include <memory>
+#include <set>
+
+namespace Godwitfork
+{
+
+/// State of a request in progress that other code than its own changes: the callback that runs when the caller disconnects, and the
+/// stop of the process.
+struct CallerConnection {
+    bool gone = false;
+    std::shared_ptr<HttpCallCanceller> canceller;
+};
+
+/// Requests in progress of one entry process. Not thread-safe.
+class RequestsInProgress
+{
+public:
+    /// Adds a request, which counts as in progress until the result's last copy is gone.
+    std::shared_ptr<CallerConnection> add();
+    int count() const;
+
+private:
+    /// Shared with the requests, which may outlive this object.
+    std::shared_ptr<std::set<CallerConnection *>> requests = std::make_shared<std::set<CallerConnection *>>();
+};
+
+} // namespace Godwitfork
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
@@ -74,6 +75,7 @@
 
     Asio::awaitable<void> run();
     void closeIfIdle();
+    bool hasUnreadBytes() const;
 
     const HttpRequest &request() const override;
     Asio::awaitable<bool> respond(HttpResponse response) override;
@@ -123,6 +125,12 @@
     }
 }
 
+bool Connection::hasUnreadBytes() const
+{
+    boost::system::error_code ignored;
+    return this->stream.socket().available(ignored) > 0;
+}
+
 const HttpRequest &Connection::request() const
 {
     return this->current;
@@ -381,4 +389,10 @@
     return static_cast<int>(this->state->connections.size());
 }
 
+int HttpServer::connectionsWithUnreadBytes() const
+{
+    const auto &connections = this->state->connections;
+    return static_cast<int>(std::count_if(connections.begin(), connections.end(), [](const Connection *connection) { return connection->hasUnreadBytes(); }));
+}
+
 } // namespace Godwitfork
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -70,6 +70,8 @@
     /// called on the context's thread.
     void stop();
     int openConnections() const;
+    /// Open connections with received bytes that the server has not read yet.
+    int connectionsWithUnreadBytes() const;
 
     struct State;
 
