Answer the requests that have arrived when a server stops or drains

HttpServer::stop closed the listener with the connections in its queue, dropped a connection that was accepted in the same turn of the event loop, closed idle connections without a look at bytes that were not read yet, and read and discarded the request that followed a stream which had begun without Connection: close.

Now stop() accepts all that waits before it closes the listener. A connection is closed for idleness only by its own coroutine, after one more read that found nothing; the timeout of the stream, which closed the socket whatever had arrived, is no longer used for that. While the server drains, a connection without a request has half a second. drain() does the same with an open listener, since the platform's balancer may send to all instances of a failure domain while too few are in rotation.

A connection whose handshake ends between the last accept and the close is still reset; nothing of it was read.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -29,6 +30,9 @@
 
 constexpr Duration closeTimeout = std::chrono::seconds(1);
 constexpr std::size_t maxDiscardedBytes = 4 * 1024 * 1024;
+/// Time for which a draining server keeps a connection without a request: a new client sends its request within a round trip, and one
+/// that was not told of the close by the last response may send another at once.
+constexpr Duration drainIdleTime = std::chrono::milliseconds(500);
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -38,6 +42,9 @@
     }
 
     Asio::awaitable<void> acceptLoop();
+    void open(Tcp::socket socket);
+    void closeListener();
+    void drain();
 
     Asio::io_context &context;
     Tcp::acceptor acceptor;
@@ -46,7 +53,7 @@
     HttpErrorFormatter formatError;
     std::set<Connection *> connections;
     bool isKeepAliveDisabled = false;
-    bool stopping = false;
+    bool isDraining = false;
 };
 
 namespace
@@ -74,7 +81,8 @@
     ~Connection() override;
 
     Asio::awaitable<void> run();
-    void closeIfIdle();
+    /// Applies the limit of the time without a request again, if the connection waits for one.
+    void checkIdle();
     bool hasUnreadBytes() const;
 
     const HttpRequest &request() const override;
@@ -88,6 +96,9 @@
 private:
     void watchForDisconnect();
     void stopWatching();
+    MonotonicTime idleEnd() const;
+    /// Waits for the first bytes of a request. Returns false if the client has closed the connection or none arrived in time.
+    Asio::awaitable<bool> waitForRequest();
     Asio::awaitable<bool> readRequest();
     Asio::awaitable<void> readUntilClosed();
     Asio::awaitable<void> respondWithError(int status, const std::string &code, const std::string &message);
@@ -101,13 +112,16 @@
     std::function<void()> disconnectHandler;
     /// Number of the current disconnect watch; a completion with another number belongs to an earlier request.
     std::uint64_t watchNumber = 0;
+    Asio::steady_timer idleTimer;
+    MonotonicTime idleSince;
     bool keepAlive = true;
-    bool isIdle = true;
+    bool isIdle = false;
 };
 
-Connection::Connection(Tcp::socket socket, std::shared_ptr<HttpServer::State> state) : stream(std::move(socket)), state(std::move(state))
+Connection::Connection(Tcp::socket socket, std::shared_ptr<HttpServer::State> state)
+    : stream(std::move(socket)), state(std::move(state)), idleTimer(this->state->context)
 {
-    // `watchForDisconnect` peeks into the receive buffer and must not block.
+    // `watchForDisconnect` and `waitForRequest` look into the receive buffer and must not block.
     boost::system::error_code ignored;
     this->stream.socket().non_blocking(true, ignored);
     this->state->connections.insert(this);
@@ -118,10 +132,11 @@
     this->state->connections.erase(this);
 }
 
-void Connection::closeIfIdle()
+void Connection::checkIdle()
 {
     if (this->isIdle) {
-        this->stream.close();
+        boost::system::error_code ignored;
+        this->stream.socket().cancel(ignored);
     }
 }
 
@@ -186,7 +201,7 @@
     for (const HttpHeader &header : headers) {
         message.insert(header.name, header.value);
     }
-    this->keepAlive = this->keepAlive && !this->state->isKeepAliveDisabled && !this->state->stopping;
+    this->keepAlive = this->keepAlive && !this->state->isKeepAliveDisabled;
     message.keep_alive(this->keepAlive);
 }
 
@@ -245,6 +260,42 @@
     co_await this->respond(this->state->formatError(status, code, message));
 }
 
+MonotonicTime Connection::idleEnd() const
+{
+    const Duration limit = this->state->limits.idleTimeout;
+    return this->idleSince + (this->state->isDraining ? std::min(limit, drainIdleTime) : limit);
+}
+
+// The stream's own timeout would close the socket together with a request that has arrived and is not read yet, which resets the connection. Here
+// the socket is read once more after the time is over.
+Asio::awaitable<bool> Connection::waitForRequest()
+{
+    this->idleSince = monotonicNow();
+    while (this->buffer.size() == 0) {
+        const bool isOver = this->idleEnd() <= monotonicNow();
+        boost::system::error_code error;
+        const std::size_t received = this->stream.socket().read_some(this->buffer.prepare(4096), error);
+        this->buffer.commit(received);
+        if (received > 0) {
+            break;
+        }
+        if (isOver || error != Asio::error::would_block) {
+            co_return false;
+        }
+        this->isIdle = true;
+        this->idleTimer.expires_at(this->idleEnd());
+        this->idleTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &timerError) {
+            if (!timerError) {
+                self->checkIdle();
+            }
+        });
+        co_await this->stream.socket().async_wait(Tcp::socket::wait_read, Asio::redirect_error(Asio::use_awaitable, error));
+        this->isIdle = false;
+        this->idleTimer.cancel();
+    }
+    co_return true;
+}
+
 Asio::awaitable<bool> Connection::readRequest()
 {
     const HttpServerLimits &limits = this->state->limits;
@@ -253,17 +304,6 @@
     parser.body_limit(limits.maxBodyBytes);
     boost::system::error_code error;
 
-    this->isIdle = true;
-    this->stream.expires_after(limits.idleTimeout);
-    // Waits for the first byte separately, so that an idle connection is closed without a 408 response.
-    if (this->buffer.size() == 0) {
-        const std::size_t received = co_await this->stream.async_read_some(this->buffer.prepare(4096), Asio::redirect_error(Asio::use_awaitable, error));
-        if (error) {
-            co_return false;
-        }
-        this->buffer.commit(received);
-    }
-    this->isIdle = false;
     this->stream.expires_after(limits.requestTimeout);
     co_await Http::async_read_header(this->stream, this->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
     if (!error && Beast::iequals(parser.get()[Http::field::expect], "100-continue")) {
@@ -293,7 +333,12 @@
 
 Asio::awaitable<void> Connection::run()
 {
-    while (this->keepAlive && !this->state->stopping) {
+    while (this->keepAlive) {
+        const bool hasRequest = co_await this->waitForRequest();
+        if (!hasRequest) {
+            // A request that crosses the close stays unread, which tells the client that it was not taken.
+            co_return;
+        }
         const bool complete = co_await this->readRequest();
         if (!complete) {
             break;
@@ -322,19 +367,50 @@
 Asio::awaitable<void> HttpServer::State::acceptLoop()
 {
     auto self = this->shared_from_this();
-    while (!this->stopping) {
+    while (this->acceptor.is_open()) {
         boost::system::error_code error;
         Tcp::socket socket = co_await this->acceptor.async_accept(Asio::redirect_error(Asio::use_awaitable, error));
-        if (error == Asio::error::operation_aborted || !this->acceptor.is_open()) {
+        if (error == Asio::error::operation_aborted) {
             break;
         }
         if (error || static_cast<int>(this->connections.size()) >= this->limits.maxConnections) {
             continue;
         }
-        socket.set_option(Tcp::no_delay(true), error);
-        auto connection = std::make_shared<Connection>(std::move(socket), self);
-        Asio::co_spawn(
-            this->context, [connection]() -> Asio::awaitable<void> { co_await connection->run(); }, Asio::detached);
+        // The listener may have closed since the connection was accepted; its client has been told that it is open.
+        this->open(std::move(socket));
+    }
+}
+
+void HttpServer::State::open(Tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    auto connection = std::make_shared<Connection>(std::move(socket), this->shared_from_this());
+    Asio::co_spawn(
+        this->context, [connection]() -> Asio::awaitable<void> { co_await connection->run(); }, Asio::detached);
+}
+
+// Closing a listener resets the connections in its queue.
+void HttpServer::State::closeListener()
+{
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error) {
+        Tcp::socket socket(this->context);
+        this->acceptor.accept(socket, error);
+        if (!error) {
+            this->open(std::move(socket));
+        }
+    }
+    this->acceptor.close(error);
+}
+
+void HttpServer::State::drain()
+{
+    this->isKeepAliveDisabled = true;
+    this->isDraining = true;
+    for (Connection *connection : this->connections) {
+        connection->checkIdle();
     }
 }
 
@@ -374,14 +450,15 @@
     this->state->isKeepAliveDisabled = true;
 }
 
+void HttpServer::drain()
+{
+    this->state->drain();
+}
+
 void HttpServer::stop()
 {
-    this->state->stopping = true;
-    boost::system::error_code ignored;
-    this->state->acceptor.close(ignored);
-    for (Connection *connection : this->state->connections) {
-        connection->closeIfIdle();
-    }
+    this->state->closeListener();
+    this->state->drain();
 }
 
 int HttpServer::openConnections() const
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -66,8 +66,11 @@
     void setLimits(const HttpServerLimits &limits);
     /// Closes each connection after its current or next response. New connections are still accepted.
     void disableKeepAlive();
-    /// Closes the listener and idle connections; a connection with a request in progress closes after the response. Must be
-    /// called on the context's thread.
+    /// Disables keep-alive and closes each connection that is idle, or a moment after it becomes idle. Requests that have arrived on it by then
+    /// are answered, read or not. New connections are accepted and get the same moment for their request. Must be called on the context's
+    /// thread.
+    void drain();
+    /// Accepts the connections that wait in the listener's queue, closes the listener and drains. Must be called on the context's thread.
     void stop();
     int openConnections() const;
     /// Open connections with received bytes that the server has not read yet.
