Refuse requests beyond the connection limit with 503, and pause when no descriptor is free

Callers saw connections that closed without an answer when a server had its maximum of connections: the new connection was dropped after the accept. When the process had no free descriptor, the accept loop failed again and again without a pause and took the whole processor.

A connection beyond the limit now gets 503 for its request; beyond 64 of them, connections wait in the listener's queue. After a failed accept the loop waits 20 ms.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -33,6 +33,10 @@
 /// Time for which a draining server keeps a connection without a request: a new client sends its request within a round trip, and one
 /// that was not told of the close by the last response may send another at once.
 constexpr Duration drainIdleTime = std::chrono::milliseconds(500);
+/// Wait before the next accept if the process has no free descriptor or the server no free connection.
+constexpr Duration acceptPause = std::chrono::milliseconds(20);
+/// Connections beyond the limit that are open at the same time to have a request refused; further ones wait in the listener's queue.
+constexpr int maxRefusedConnections = 64;
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -43,6 +47,7 @@
 
     Asio::awaitable<void> acceptLoop();
     void open(Tcp::socket socket);
+    bool mayAccept() const;
     void closeListener();
     void drain();
 
@@ -77,7 +82,7 @@
     , public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(Tcp::socket socket, std::shared_ptr<HttpServer::State> state);
+    Connection(Tcp::socket socket, std::shared_ptr<HttpServer::State> state, bool isBeyondLimit);
     ~Connection() override;
 
     Asio::awaitable<void> run();
@@ -114,12 +119,14 @@
     std::uint64_t watchNumber = 0;
     Asio::steady_timer idleTimer;
     MonotonicTime idleSince;
+    /// Whether the connection exceeds the limit, so that its request is refused.
+    bool isBeyondLimit;
     bool keepAlive = true;
     bool isIdle = false;
 };
 
-Connection::Connection(Tcp::socket socket, std::shared_ptr<HttpServer::State> state)
-    : stream(std::move(socket)), state(std::move(state)), idleTimer(this->state->context)
+Connection::Connection(Tcp::socket socket, std::shared_ptr<HttpServer::State> state, bool isBeyondLimit)
+    : stream(std::move(socket)), state(std::move(state)), idleTimer(this->state->context), isBeyondLimit(isBeyondLimit)
 {
     // `watchForDisconnect` and `waitForRequest` look into the receive buffer and must not block.
     boost::system::error_code ignored;
@@ -263,7 +270,7 @@
 MonotonicTime Connection::idleEnd() const
 {
     const Duration limit = this->state->limits.idleTimeout;
-    return this->idleSince + (this->state->isDraining ? std::min(limit, drainIdleTime) : limit);
+    return this->idleSince + (this->state->isDraining || this->isBeyondLimit ? std::min(limit, drainIdleTime) : limit);
 }
 
 // The stream's own timeout would close the socket together with a request that has arrived and is not read yet, which resets the connection. Here
@@ -343,6 +350,10 @@
         if (!complete) {
             break;
         }
+        if (this->isBeyondLimit) {
+            co_await this->respondWithError(503, "too_many_connections", "the server has no free connection");
+            break;
+        }
         co_await this->state->handler(*this);
         this->stopWatching();
     }
@@ -367,13 +378,22 @@
 Asio::awaitable<void> HttpServer::State::acceptLoop()
 {
     auto self = this->shared_from_this();
+    Asio::steady_timer pause(this->context);
     while (this->acceptor.is_open()) {
         boost::system::error_code error;
+        if (!this->mayAccept()) {
+            pause.expires_after(acceptPause);
+            co_await pause.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+            continue;
+        }
         Tcp::socket socket = co_await this->acceptor.async_accept(Asio::redirect_error(Asio::use_awaitable, error));
         if (error == Asio::error::operation_aborted) {
             break;
         }
-        if (error || static_cast<int>(this->connections.size()) >= this->limits.maxConnections) {
+        if (error) {
+            // Without a free descriptor, accept fails again at once.
+            pause.expires_after(acceptPause);
+            co_await pause.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
             continue;
         }
         // The listener may have closed since the connection was accepted; its client has been told that it is open.
@@ -381,11 +401,17 @@
     }
 }
 
+bool HttpServer::State::mayAccept() const
+{
+    return static_cast<int>(this->connections.size()) < this->limits.maxConnections + maxRefusedConnections;
+}
+
 void HttpServer::State::open(Tcp::socket socket)
 {
+    const bool isBeyondLimit = static_cast<int>(this->connections.size()) >= this->limits.maxConnections;
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
-    auto connection = std::make_shared<Connection>(std::move(socket), this->shared_from_this());
+    auto connection = std::make_shared<Connection>(std::move(socket), this->shared_from_this(), isBeyondLimit);
     Asio::co_spawn(
         this->context, [connection]() -> Asio::awaitable<void> { co_await connection->run(); }, Asio::detached);
 }
--- a/Tests/LibHttp/TestHttpServerStop.cpp
+++ b/Tests/LibHttp/TestHttpServerStop.cpp
@@ -244,3 +244,39 @@
     server.runUntil(client, 2);
     CHECK(count(client.received, "HTTP/1.1 200") == 2);
 }
+
+// Guards against LOST: a connection beyond the limit was closed without an answer.
+TEST_CASE("A request on a connection beyond the limit is refused with 503", "[stop]")
+{
+    HttpServerLimits limits;
+    limits.maxConnections = 2;
+    StoppableServer server(limits);
+    RawClient first(server.server.address());
+    RawClient second(server.server.address());
+    server.runFor(20ms);
+    RawClient beyond(server.server.address());
+    beyond.send(request);
+    server.runUntil(beyond, 1);
+    CHECK(count(beyond.received, "HTTP/1.1 503") == 1);
+    CHECK(count(beyond.received, "Connection: close") == 1);
+    first.send(request);
+    server.runUntil(first, 1);
+    CHECK(count(first.received, "HTTP/1.1 200") == 1);
+}
+
+// Guards against an event loop that does nothing but fail to accept while no descriptor is free.
+TEST_CASE("A server without a free descriptor waits between two accepts and takes the connection later", "[stop]")
+{
+    StoppableServer server;
+    RawClient client(server.server.address());
+    client.send(request);
+    rlimit usual {};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &usual) == 0);
+    const rlimit none {0, usual.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &none) == 0);
+    const std::size_t handlers = server.runFor(200ms);
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &usual) == 0);
+    CHECK(handlers < 100);
+    server.runUntil(client, 1);
+    CHECK(count(client.received, "HTTP/1.1 200") == 1);
+}
