Refuse late requests of a stop that may not end before the process, and keep the listener open

Callers whose requests came late in the grace got a closed connection at its end (LOST): every request was passed on, whatever time it had left, and cut when the process ended, among them requests that may not be repeated. Others were turned away by a closed listener although the balancer still sent them.

StopRules has the schedule of a stop and decides what it takes: everything while the balancer may not have noticed the stop, and later only requests whose whole time (the caller's deadline and the route's timeout) ends before requests in progress are ended. Others get 503, not run, with a short Retry-After, since another instance takes them at once. The listener stays open until nothing has been connected for half a second or the end is near. No further attempt of a request starts for which no time is left.

--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -24,6 +24,8 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 /// Timeout of one store call. The store usually answers within milliseconds, but can be slow for a while.
 constexpr Duration storeTimeout = std::chrono::milliseconds(1500);
+/// Time without a connection after which a stop needs no further wait for callers.
+constexpr Duration quietTime = std::chrono::milliseconds(500);
 /// Interval of checks for a settings file that changed without a signal.
 constexpr Duration settingsCheckInterval = std::chrono::seconds(5);
 constexpr const char *promptTrialTask = "prompt_trial";
@@ -246,6 +248,25 @@
     logEvent(LogLevel::Info, phase, fields);
 }
 
+// The balancer sends to all instances of a failure domain while too few are in rotation, so the listener stays open while anything may arrive.
+Asio::awaitable<void> EntryService::waitForQuiet()
+{
+    Asio::steady_timer timer(this->context);
+    std::uint64_t accepted = this->callers.acceptedConnections();
+    MonotonicTime quietSince = monotonicNow();
+    MonotonicTime now = quietSince;
+    while (now < this->state.stop->interruptAt && now - quietSince < quietTime) {
+        timer.expires_at(std::min(now + tickInterval, this->state.stop->interruptAt));
+        boost::system::error_code ignored;
+        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+        now = monotonicNow();
+        if (this->callers.openConnections() > 0 || this->callers.acceptedConnections() != accepted) {
+            accepted = this->callers.acceptedConnections();
+            quietSince = now;
+        }
+    }
+}
+
 Asio::awaitable<void> EntryService::waitForStop()
 {
     boost::system::error_code error;
@@ -257,6 +278,9 @@
     Asio::steady_timer timer(this->context, this->state.stop->drainAt);
     co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
     this->logStop("stop.drain");
+    this->callers.drain();
+    co_await this->waitForQuiet();
+    this->logStop("stop.close");
     this->callers.stop();
     while (this->callers.openConnections() > 0 && monotonicNow() < this->state.stop->endsAt) {
         timer.expires_after(tickInterval);
--- a/Libraries/LibEntry/EntryService.h
+++ b/Libraries/LibEntry/EntryService.h
@@ -35,6 +35,8 @@
     boost::asio::awaitable<void> serveMetrics(HttpExchange &exchange);
     boost::asio::awaitable<void> runPeriodicTasks();
     boost::asio::awaitable<void> waitForStop();
+    /// Waits until the callers' listener has had no connection for a moment, or until the requests in progress are to be ended.
+    boost::asio::awaitable<void> waitForQuiet();
     boost::asio::awaitable<void> waitForReload();
     /// Logs what is in progress at the start of a phase of the stop; `signal` is 0 if it did not start with one.
     void logStop(const char *phase, int signal = 0) const;
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -32,6 +32,9 @@
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
+/// Delay after a refusal of an instance that stops. It is short, since another instance takes the request at once.
+constexpr Duration minStoppingDelay = std::chrono::milliseconds(50);
+constexpr Duration maxStoppingDelay = std::chrono::milliseconds(200);
 
 std::string withoutPort(const std::string &host)
 {
@@ -96,7 +99,8 @@
 {
     this->gatewayRequest = Platform::readRequest(this->exchange.request());
     this->routes = this->state.routes;
-    const bool isAccepted = co_await this->checkRequest();
+    bool isAccepted = co_await this->checkRequest();
+    isAccepted = isAccepted && co_await this->checkStop();
     if (isAccepted) {
         co_await this->serve();
     }
@@ -131,10 +135,20 @@
     co_return true;
 }
 
+Asio::awaitable<bool> RequestRun::checkStop()
+{
+    if (!this->state.stop || isAdmittedWhileStopping(stopConditions(*this->state.stop, this->started, this->timeLimit()))) {
+        co_return true;
+    }
+    this->isRefusedLate = true;
+    std::uniform_int_distribution<std::int64_t> delay(minStoppingDelay.count(), maxStoppingDelay.count());
+    co_await this->sendOwnAnswer(503, "instance_stopping", Duration(delay(this->state.random)));
+    co_return false;
+}
+
 Asio::awaitable<void> RequestRun::serve()
 {
-    const Duration callerTime = this->gatewayRequest.deadline.value_or(defaultDeadline) - answerMargin;
-    this->deadline = this->started + std::min(callerTime, this->route->timeout);
+    this->deadline = this->started + this->timeLimit();
     this->service = chooseService(*this->route, sessionFraction(this->gatewayRequest));
     this->modelSelection.begin(*this->route, this->gatewayRequest, this->routes->findService(this->service));
     this->progress.repeatRule = this->route->repeatRule;
@@ -544,7 +558,7 @@
 RetryConditions RequestRun::retryMeans()
 {
     RetryConditions means;
-    means.remaining = this->remaining();
+    means.remaining = this->state.stop ? timeForAttempt(*this->state.stop, monotonicNow(), this->remaining()) : this->remaining();
     for (const EndpointEntry *endpoint : this->candidates()) {
         means.hasEndpoint = means.hasEndpoint || !this->triedEndpoints.contains(endpoint->id);
     }
@@ -587,6 +601,12 @@
     co_await this->exchange.respond(std::move(response));
 }
 
+Duration RequestRun::timeLimit() const
+{
+    const Duration callerTime = this->gatewayRequest.deadline.value_or(defaultDeadline) - answerMargin;
+    return std::min(callerTime, this->route->timeout);
+}
+
 Duration RequestRun::remaining() const
 {
     return std::max(Duration::zero(), this->deadline - monotonicNow());
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -67,6 +67,8 @@
     enum class RelayEnd { Complete, CallerGone, Broken };
 
     boost::asio::awaitable<bool> checkRequest();
+    /// Refuses the request if the process stops before the request certainly ends.
+    boost::asio::awaitable<bool> checkStop();
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<AttemptOutcome> attempt();
     /// Starts a watch that cancels the current attempt once it stalls. The watch ends when the returned flag is set.
@@ -111,6 +113,8 @@
     bool isStreamWhole(const HttpResponseStream &stream, bool hasPartialEvent, std::int64_t events) const;
     HttpCallOptions callOptions(Duration limit);
     RetryConditions retryMeans();
+    /// Time that the request may take from its start.
+    Duration timeLimit() const;
     Duration remaining() const;
     Duration timeToObjective() const;
     Duration retryDelay();
@@ -137,6 +141,7 @@
     std::set<std::string> triedEndpoints;
     std::optional<AttemptInProgress> currentAttempt;
     std::optional<BufferedAnswer> bufferedAnswer;
+    bool isRefusedLate = false;
     /// Whether any part of an answer, its status and headers included, was sent to the caller.
     bool answerStarted = false;
     /// Whether the stream ended without a partial event.
--- a/Libraries/LibEntry/RequestRunLog.cpp
+++ b/Libraries/LibEntry/RequestRunLog.cpp
@@ -80,7 +80,7 @@
     }
     fields["stop_arrival_ms"] = toMilliseconds(this->started - this->state.stop->began);
     fields["stop_left_ms"] = toMilliseconds(this->state.stop->endsAt - now);
-    const char *outcome = this->reason == "stream_broken" ? "broken_off" : "answered";
+    const char *outcome = this->isRefusedLate ? "refused_late" : this->reason == "stream_broken" ? "broken_off" : "answered";
     this->context.metrics.recordStopRequest(this->caller->gone ? "caller_gone" : outcome);
 }
 
--- a/Libraries/LibGateway/StopRules.cpp
+++ b/Libraries/LibGateway/StopRules.cpp
@@ -25,4 +25,19 @@
     return schedule;
 }
 
+StopConditions stopConditions(const StopSchedule &schedule, MonotonicTime now, Duration timeLimit)
+{
+    return {now < schedule.drainAt, schedule.interruptAt - now, timeLimit};
+}
+
+bool isAdmittedWhileStopping(const StopConditions &conditions)
+{
+    return conditions.mayBalancerSend || conditions.timeLimit <= conditions.untilInterrupt;
+}
+
+Duration timeForAttempt(const StopSchedule &schedule, MonotonicTime now, Duration remaining)
+{
+    return std::max(Duration::zero(), std::min(remaining, schedule.interruptAt - now));
+}
+
 } // namespace Godwitfork
--- a/Libraries/LibGateway/StopRules.h
+++ b/Libraries/LibGateway/StopRules.h
@@ -20,7 +20,26 @@
     auto operator<=>(const StopSchedule &) const = default;
 };
 
+/// What is known when a request arrives during a stop.
+struct StopConditions {
+    /// Whether the balancer may not have noticed the stop yet.
+    bool mayBalancerSend = false;
+    /// Time until requests in progress are ended; negative after that.
+    Duration untilInterrupt = Duration::zero();
+    /// Time that the request may take, by its caller's deadline and its route.
+    Duration timeLimit = Duration::zero();
+
+    auto operator<=>(const StopConditions &) const = default;
+};
+
 /// Schedule of a stop that begins at `now` and ends within `stopLimit`.
 StopSchedule makeStopSchedule(MonotonicTime now, Duration stopLimit);
 
+StopConditions stopConditions(const StopSchedule &schedule, MonotonicTime now, Duration timeLimit);
+/// Whether an instance that stops takes the request. Once the balancer has had its time, it takes only what certainly ends before the process
+/// does; another instance takes the others.
+bool isAdmittedWhileStopping(const StopConditions &conditions);
+/// Time for another attempt of a request with the given remaining time.
+Duration timeForAttempt(const StopSchedule &schedule, MonotonicTime now, Duration remaining);
+
 } // namespace Godwitfork
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -57,6 +57,7 @@
     HttpHandler handler;
     HttpErrorFormatter formatError;
     std::set<Connection *> connections;
+    std::uint64_t acceptedConnections = 0;
     bool isKeepAliveDisabled = false;
     bool isDraining = false;
 };
@@ -409,6 +410,7 @@
 void HttpServer::State::open(Tcp::socket socket)
 {
     const bool isBeyondLimit = static_cast<int>(this->connections.size()) >= this->limits.maxConnections;
+    ++this->acceptedConnections;
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     auto connection = std::make_shared<Connection>(std::move(socket), this->shared_from_this(), isBeyondLimit);
@@ -492,6 +494,11 @@
     return static_cast<int>(this->state->connections.size());
 }
 
+std::uint64_t HttpServer::acceptedConnections() const
+{
+    return this->state->acceptedConnections;
+}
+
 int HttpServer::connectionsWithUnreadBytes() const
 {
     const auto &connections = this->state->connections;
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -73,6 +73,8 @@
     /// Accepts the connections that wait in the listener's queue, closes the listener and drains. Must be called on the context's thread.
     void stop();
     int openConnections() const;
+    /// Connections accepted since the start.
+    std::uint64_t acceptedConnections() const;
     /// Open connections with received bytes that the server has not read yet.
     int connectionsWithUnreadBytes() const;
 
