--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -24,10 +24,8 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 /// Timeout of one store call. The store usually answers within milliseconds, but can be slow for a while.
 constexpr Duration storeTimeout = std::chrono::milliseconds(1500);
-/// Time until the balancer stops sending callers: it checks readiness every second and removes an instance after two failures.
-constexpr Duration balancerDelay = std::chrono::milliseconds(2500);
-/// Part of the stop limit reserved for the exit of the process itself.
-constexpr Duration exitMargin = std::chrono::milliseconds(400);
+/// Time without a connection after which a stop needs no further wait for callers.
+constexpr Duration quietTime = std::chrono::milliseconds(500);
 /// Interval of checks for a settings file that changed without a signal.
 constexpr Duration settingsCheckInterval = std::chrono::seconds(5);
 constexpr const char *promptTrialTask = "prompt_trial";
@@ -104,7 +102,7 @@
     spawn(this->context, [this] { return this->waitForReload(); });
     spawn(this->context, [this] { return this->waitForStop(); });
     this->context.run();
-    logEvent(LogLevel::Info, "stopped", {{"open_connections", this->callers.openConnections()}});
+    this->logStop("stopped");
     flushLog();
 }
 
@@ -234,19 +232,57 @@
     }
 }
 
+void EntryService::logStop(const char *phase, int signal) const
+{
+    nlohmann::ordered_json fields {{"requests", this->state.requests.count()},
+                                   {"open_connections", this->callers.openConnections()},
+                                   {"unread_connections", this->callers.connectionsWithUnreadBytes()}};
+    if (this->state.stop) {
+        const MonotonicTime now = monotonicNow();
+        fields["elapsed_ms"] = toMilliseconds(now - this->state.stop->began);
+        fields["left_ms"] = toMilliseconds(this->state.stop->endsAt - now);
+    }
+    if (signal > 0) {
+        fields["signal"] = signal;
+    }
+    logEvent(LogLevel::Info, phase, fields);
+}
+
+// The balancer sends to all instances of a failure domain while too few are in rotation, so the listener stays open while anything may arrive.
+Asio::awaitable<void> EntryService::waitForQuiet()
+{
+    Asio::steady_timer timer(this->context);
+    std::uint64_t accepted = this->callers.acceptedConnections();
+    MonotonicTime quietSince = monotonicNow();
+    MonotonicTime now = quietSince;
+    while (now < this->state.stop->interruptAt && now - quietSince < quietTime) {
+        timer.expires_at(std::min(now + tickInterval, this->state.stop->interruptAt));
+        boost::system::error_code ignored;
+        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+        now = monotonicNow();
+        if (this->callers.openConnections() > 0 || this->callers.acceptedConnections() != accepted) {
+            accepted = this->callers.acceptedConnections();
+            quietSince = now;
+        }
+    }
+}
+
 Asio::awaitable<void> EntryService::waitForStop()
 {
     boost::system::error_code error;
     const int signal = co_await this->stopSignals.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
-    const MonotonicTime end = monotonicNow() + this->state.settings.stopLimit - exitMargin;
-    logEvent(LogLevel::Info, "stopping", {{"signal", signal}, {"open_connections", this->callers.openConnections()}});
-    this->state.stopping = true;
+    this->state.stop = makeStopSchedule(monotonicNow(), this->state.settings.stopLimit);
+    this->logStop("stopping", signal);
     // Callers that arrive before the balancer removes this instance are still served.
     this->callers.disableKeepAlive();
-    Asio::steady_timer timer(this->context, balancerDelay);
+    Asio::steady_timer timer(this->context, this->state.stop->drainAt);
     co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+    this->logStop("stop.drain");
+    this->callers.drain();
+    co_await this->waitForQuiet();
+    this->logStop("stop.close");
     this->callers.stop();
-    while (this->callers.openConnections() > 0 && monotonicNow() < end) {
+    while (this->callers.openConnections() > 0 && monotonicNow() < this->state.stop->endsAt) {
         timer.expires_after(tickInterval);
         co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
     }
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -7,6 +7,8 @@
 #include "LibHttp/HttpClient.h"
 #include "LibHttp/HttpServer.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,12 +29,6 @@
     EntryMetrics &metrics;
 };
 
-/// Connection state of a caller, shared with the callback that runs when the caller disconnects.
-struct CallerConnection {
-    bool gone = false;
-    std::shared_ptr<HttpCallCanceller> canceller;
-};
-
 /// State of an attempt in progress at one endpoint.
 struct AttemptInProgress {
     ChoiceQuery query;
@@ -71,6 +67,8 @@
     enum class RelayEnd { Complete, CallerGone, Broken };
 
     boost::asio::awaitable<bool> checkRequest();
+    /// Refuses the request if the process stops before the request certainly ends.
+    boost::asio::awaitable<bool> checkStop();
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<AttemptOutcome> attempt();
     /// Starts a watch that cancels the current attempt once it stalls. The watch ends when the returned flag is set.
@@ -115,6 +113,8 @@
     bool isStreamWhole(const HttpResponseStream &stream, bool hasPartialEvent, std::int64_t events) const;
     HttpCallOptions callOptions(Duration limit);
     RetryConditions retryMeans();
+    /// Time that the request may take from its start.
+    Duration timeLimit() const;
     Duration remaining() const;
     Duration timeToObjective() const;
     Duration retryDelay();
@@ -123,6 +123,8 @@
     void recordOutputSpeed(std::int64_t events, Duration elapsed);
     void logEscalation() const;
     void logEnd() const;
+    /// Counts the request if the process is stopping, and adds the times of the stop to its log line.
+    void recordStop(nlohmann::ordered_json &fields, MonotonicTime now) const;
 
     EntryContext &context;
     EntryState &state;
@@ -139,6 +141,7 @@
     std::set<std::string> triedEndpoints;
     std::optional<AttemptInProgress> currentAttempt;
     std::optional<BufferedAnswer> bufferedAnswer;
+    bool isRefusedLate = false;
     /// Whether any part of an answer, its status and headers included, was sent to the caller.
     bool answerStarted = false;
     /// Whether the stream ended without a partial event.
