Log and count every silence of an endpoint that ends an attempt

An attempt that was cancelled for its endpoint's silence left only the reason "endpoint_stalled", without the silence, its limit, and what kept the request from going on elsewhere. attempt.silent names them together with the counts of the retry budget; godwitfork_entry_endpoint_silences_total counts them. The order of the conditions for a retry is now named (RetryObstacle), with the same results. The watch moves to a file of its own. No change of behaviour.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -39,6 +39,10 @@
                                                                  .Name("godwitfork_entry_endpoint_announcements_total")
                                                                  .Help("Answers in which an endpoint said something new of itself, by service and kind")
                                                                  .Register(this->registry);
+    prometheus::Family<prometheus::Counter> &silences = prometheus::BuildCounter()
+                                                            .Name("godwitfork_entry_endpoint_silences_total")
+                                                            .Help("Attempts whose endpoint was silent beyond its limit, by route, action and obstacle")
+                                                            .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &trialAnswers = prometheus::BuildGauge()
                                                               .Name("godwitfork_entry_trial_answers")
                                                               .Help("Answers counted for a version under trial, by service, version and result")
@@ -80,6 +84,11 @@
     this->state->announcements.Add({{"service", service}, {"kind", kind}}).Increment();
 }
 
+void EntryMetrics::recordSilence(const std::string &route, const char *action, const char *obstacle)
+{
+    this->state->silences.Add({{"route", route}, {"action", action}, {"obstacle", obstacle}}).Increment();
+}
+
 void EntryMetrics::setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures)
 {
     this->state->trialAnswers.Add({{"service", service}, {"version", version}, {"result", "all"}}).Set(answers);
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -36,6 +36,9 @@
     void recordPromptRefusal(const std::string &service);
     /// Counts an answer in which an endpoint of the service said something new of itself; `kind` is "limit", "leaving" or "closed".
     void recordAnnouncement(const std::string &service, const char *kind);
+    /// Counts an attempt whose endpoint was silent beyond its limit; `action` is "cancelled" or "tolerated", `obstacle` what kept the request
+    /// from going on elsewhere.
+    void recordSilence(const std::string &route, const char *action, const char *obstacle);
     /// Sets the numbers of answers and of failures that this instance has counted for a version under trial.
     void setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures);
     std::string toText(const EntryGauges &gauges);
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -2,15 +2,9 @@
 
 #include "LibCore/Digest.h"
 #include "LibCore/Log.h"
-#include "LibGateway/StallRules.h"
 #include "LibHttp/EventSplitter.h"
 #include "RequestHeaders.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -29,7 +23,6 @@
 /// Part of the caller's deadline reserved for sending the answer back.
 constexpr Duration answerMargin = std::chrono::milliseconds(10);
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
-constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
 
@@ -350,42 +343,6 @@
     co_return outcome;
 }
 
-// Capturing `this` is safe: the flag is set before the attempt ends, and this object outlives the attempt.
-std::shared_ptr<bool> RequestRun::watchForStall()
-{
-    auto ended = std::make_shared<bool>(false);
-    auto watch = [this, ended]() -> Asio::awaitable<void> {
-        Asio::steady_timer timer(this->context.context);
-        while (true) {
-            timer.expires_after(stallCheckInterval);
-            boost::system::error_code ignored;
-            co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
-            if (*ended) {
-                co_return;
-            }
-            this->recordOverdueVersionTime();
-            if (this->isAttemptStalled()) {
-                this->stalled = true;
-                this->caller->canceller->cancel();
-                co_return;
-            }
-        }
-    };
-    Asio::co_spawn(this->context.context, std::move(watch), Asio::detached);
-    return ended;
-}
-
-bool RequestRun::isAttemptStalled() const
-{
-    const MonotonicTime now = monotonicNow();
-    StallEvidence evidence;
-    evidence.hasFirstEvent = this->currentAttempt->firstOutput.has_value();
-    evidence.silence = now - this->currentAttempt->lastEventAt;
-    const EndpointLoad &load = this->state.chooser.loads().find(this->currentAttempt->choice.endpoint.id);
-    evidence.sinceEndpointOutput = load.sinceFleetOutput(now);
-    return isStalled(evidence, {this->currentAttempt->choice.firstOutput, this->route->latencyObjective, this->route->pauseObjective});
-}
-
 Asio::awaitable<AttemptOutcome> RequestRun::readAnswer(std::unique_ptr<HttpResponseStream> stream)
 {
     AttemptOutcome outcome;
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -4,6 +4,7 @@
 #include "LibEntry/EntryState.h"
 #include "LibEntry/ModelSelection.h"
 #include "LibGateway/AttemptRules.h"
+#include "LibGateway/StallRules.h"
 #include "LibHttp/HttpClient.h"
 #include "LibHttp/HttpServer.h"
 
@@ -75,7 +76,8 @@
     boost::asio::awaitable<AttemptOutcome> attempt();
     /// Starts a watch that cancels the current attempt once it stalls. The watch ends when the returned flag is set.
     std::shared_ptr<bool> watchForStall();
-    bool isAttemptStalled() const;
+    StallEvidence stallEvidence() const;
+    StallLimits stallLimits() const;
     boost::asio::awaitable<AttemptOutcome> readAnswer(std::unique_ptr<HttpResponseStream> stream);
     boost::asio::awaitable<RelayEnd> relay(HttpResponseStream &stream);
     /// Sends the status and headers of a streamed answer, unless they were sent already.
@@ -121,6 +123,8 @@
     void logAttempt(const AttemptOutcome &outcome, NextStep step) const;
     void recordFirstOutput(MonotonicTime now);
     void recordOutputSpeed(std::int64_t events, Duration elapsed);
+    /// Logs and counts that the endpoint was silent beyond its limit.
+    void logSilence(const StallEvidence &evidence, const char *action, RetryObstacle obstacle);
     void logEscalation() const;
     void logEnd() const;
 
--- a/Libraries/LibEntry/RequestRunLog.cpp
+++ b/Libraries/LibEntry/RequestRunLog.cpp
@@ -58,6 +58,28 @@
     }
 }
 
+void RequestRun::logSilence(const StallEvidence &evidence, const char *action, RetryObstacle obstacle)
+{
+    const RetryUse use = retryUse(this->state.retryBudget(this->service), monotonicNow());
+    const bool isOutputKnown = evidence.sinceEndpointOutput != Duration::max();
+    logEvent(LogLevel::Warning,
+             "attempt.silent",
+             {{"request", this->gatewayRequest.id},
+              {"endpoint", this->currentAttempt->choice.endpoint.id},
+              {"action", action},
+              {"obstacle", retryObstacleName(obstacle)},
+              {"silence_ms", toMilliseconds(evidence.silence)},
+              {"limit_ms", toMilliseconds(stallTimeout(evidence, this->stallLimits()))},
+              {"endpoint_output_age_ms", isOutputKnown ? toMilliseconds(evidence.sinceEndpointOutput) : -1},
+              {"events", this->currentAttempt->events},
+              {"is_answer_started", this->answerStarted},
+              {"possible_runs", this->progress.possibleRuns},
+              {"recent_requests", use.requests},
+              {"recent_retries", use.retries},
+              {"remaining_ms", toMilliseconds(this->remaining())}});
+    this->context.metrics.recordSilence(this->route->name, action, retryObstacleName(obstacle));
+}
+
 void RequestRun::logEscalation() const
 {
     logEvent(LogLevel::Info,
--- /dev/null
+++ b/Libraries/LibEntry/RequestRunStall.cpp
@@ -0,0 +1,62 @@
+#include "LibEntry/RequestRun.h"
+#include "LibGateway/StallRules.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Godwitfork
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
+} // namespace
+
+// Capturing `this` is safe: the flag is set before the attempt ends, and this object outlives the attempt.
+std::shared_ptr<bool> RequestRun::watchForStall()
+{
+    auto ended = std::make_shared<bool>(false);
+    auto watch = [this, ended]() -> Asio::awaitable<void> {
+        Asio::steady_timer timer(this->context.context);
+        while (true) {
+            timer.expires_after(stallCheckInterval);
+            boost::system::error_code ignored;
+            co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+            if (*ended) {
+                co_return;
+            }
+            this->recordOverdueVersionTime();
+            const StallEvidence evidence = this->stallEvidence();
+            if (isStalled(evidence, this->stallLimits())) {
+                this->logSilence(evidence, "cancelled", obstacleToLeaving(this->progress, this->retryMeans()));
+                this->stalled = true;
+                this->caller->canceller->cancel();
+                co_return;
+            }
+        }
+    };
+    Asio::co_spawn(this->context.context, std::move(watch), Asio::detached);
+    return ended;
+}
+
+StallEvidence RequestRun::stallEvidence() const
+{
+    const MonotonicTime now = monotonicNow();
+    StallEvidence evidence;
+    evidence.hasFirstEvent = this->currentAttempt->firstOutput.has_value();
+    evidence.silence = now - this->currentAttempt->lastEventAt;
+    evidence.sinceEndpointOutput = this->state.chooser.loads().find(this->currentAttempt->choice.endpoint.id).sinceFleetOutput(now);
+    return evidence;
+}
+
+StallLimits RequestRun::stallLimits() const
+{
+    return {this->currentAttempt->choice.firstOutput, this->route->latencyObjective, this->route->pauseObjective};
+}
+
+} // namespace Godwitfork
--- a/Libraries/LibGateway/AttemptRules.cpp
+++ b/Libraries/LibGateway/AttemptRules.cpp
@@ -17,14 +17,9 @@
     return answer.status >= minServerErrorStatus;
 }
 
-bool mayRunAgain(const RequestProgress &progress)
-{
-    return progress.possibleRuns == 0 || (mayRepeat(progress.repeatRule) && progress.possibleRuns < progress.attemptLimit);
-}
-
 bool canRetry(const RequestProgress &progress, const RetryConditions &conditions)
 {
-    return mayRunAgain(progress) && conditions.hasEndpoint && conditions.hasBudget && conditions.remaining >= minAttemptTime && !conditions.isPromptSuspect;
+    return retryObstacle(progress, conditions) == RetryObstacle::None;
 }
 } // namespace
 
@@ -60,6 +55,27 @@
     return "fail";
 }
 
+const char *retryObstacleName(RetryObstacle obstacle)
+{
+    switch (obstacle) {
+    case RetryObstacle::None:
+        return "none";
+    case RetryObstacle::RepeatRule:
+        return "repeat_rule";
+    case RetryObstacle::AttemptLimit:
+        return "attempt_limit";
+    case RetryObstacle::Endpoint:
+        return "endpoint";
+    case RetryObstacle::Budget:
+        return "budget";
+    case RetryObstacle::Time:
+        return "time";
+    case RetryObstacle::PromptSuspect:
+        return "prompt_suspect";
+    }
+    return "none";
+}
+
 bool mayHaveRun(const AttemptOutcome &outcome)
 {
     switch (outcome.end) {
@@ -90,6 +106,33 @@
     return progress;
 }
 
+RetryObstacle retryObstacle(const RequestProgress &progress, const RetryConditions &conditions)
+{
+    if (progress.possibleRuns > 0 && !mayRepeat(progress.repeatRule)) {
+        return RetryObstacle::RepeatRule;
+    }
+    if (progress.possibleRuns > 0 && progress.possibleRuns >= progress.attemptLimit) {
+        return RetryObstacle::AttemptLimit;
+    }
+    if (!conditions.hasEndpoint) {
+        return RetryObstacle::Endpoint;
+    }
+    if (!conditions.hasBudget) {
+        return RetryObstacle::Budget;
+    }
+    if (conditions.remaining < minAttemptTime) {
+        return RetryObstacle::Time;
+    }
+    return conditions.isPromptSuspect ? RetryObstacle::PromptSuspect : RetryObstacle::None;
+}
+
+RetryObstacle obstacleToLeaving(const RequestProgress &progress, const RetryConditions &conditions)
+{
+    AttemptOutcome outcome;
+    outcome.end = AttemptEnd::TimedOut;
+    return retryObstacle(recordAttempt(progress, outcome), conditions);
+}
+
 NextStep nextStep(const RequestProgress &progress, const AttemptOutcome &outcome, const RetryConditions &conditions)
 {
     const bool isAnswer = outcome.end == AttemptEnd::Answered && !outcome.answer.notRun;
--- a/Libraries/LibGateway/AttemptRules.h
+++ b/Libraries/LibGateway/AttemptRules.h
@@ -52,6 +52,11 @@
     auto operator<=>(const RetryConditions &) const = default;
 };
 
+/// First condition that keeps a request from being sent to another endpoint.
+enum class RetryObstacle { None, RepeatRule, AttemptLimit, Endpoint, Budget, Time, PromptSuspect };
+
+const char *retryObstacleName(RetryObstacle obstacle);
+
 enum class NextStep {
     /// Pass the endpoint's answer on to the caller.
     Deliver,
@@ -73,6 +78,12 @@
 
 RequestProgress recordAttempt(RequestProgress progress, const AttemptOutcome &outcome);
 
+/// What keeps the request from being sent to another endpoint; `progress` already includes the attempts made.
+RetryObstacle retryObstacle(const RequestProgress &progress, const RetryConditions &conditions);
+/// What would keep the request from going on at another endpoint if the attempt in progress, which `progress` does not include, ended now
+/// after it may have run.
+RetryObstacle obstacleToLeaving(const RequestProgress &progress, const RetryConditions &conditions);
+
 /// Decides what follows an attempt; `progress` already includes that attempt.
 NextStep nextStep(const RequestProgress &progress, const AttemptOutcome &outcome, const RetryConditions &conditions);
 
--- a/Libraries/LibGateway/StallRules.cpp
+++ b/Libraries/LibGateway/StallRules.cpp
@@ -20,11 +20,15 @@
 constexpr int aliveExtension = 2;
 } // namespace
 
+Duration stallTimeout(const StallEvidence &evidence, const StallLimits &limits)
+{
+    return evidence.hasFirstEvent ? limits.pauseObjective * pauseObjectives
+                                  : std::max(limits.latencyObjective * firstEventObjectives, limits.expectedFirstOutput * firstEventExpectations);
+}
+
 bool isStalled(const StallEvidence &evidence, const StallLimits &limits)
 {
-    const Duration limit = evidence.hasFirstEvent
-        ? limits.pauseObjective * pauseObjectives
-        : std::max(limits.latencyObjective * firstEventObjectives, limits.expectedFirstOutput * firstEventExpectations);
+    const Duration limit = stallTimeout(evidence, limits);
     if (evidence.silence <= limit) {
         return false;
     }
--- a/Libraries/LibGateway/StallRules.h
+++ b/Libraries/LibGateway/StallRules.h
@@ -27,6 +27,8 @@
     auto operator<=>(const StallLimits &) const = default;
 };
 
+/// Silence after which an endpoint that sends output to no one has stalled.
+Duration stallTimeout(const StallEvidence &evidence, const StallLimits &limits);
 /// Whether the stream has stalled, so that the attempt is ended and, where allowed, the stream is resumed elsewhere. The timeout is longer
 /// for an engine that still sends output to other requests, since it is only overloaded and reading the prompt a second time would add
 /// to the load.
