Leave a silent endpoint only where the request can go on elsewhere

What callers saw: a stream whose endpoint was silent for more than three pause objectives (six, where the endpoint had given output lately) was cut, although its endpoint would have finished it in time (LOST).

Cause: the watch cancelled the attempt before anyone asked whether another one may follow. Where the stream may not be resumed, or may be but not now (retry budget spent, no other endpoint, attempts used up, prompt suspect, too little time), serve() found that out afterwards and closed the caller's connection.

The watch now asks first, with the conditions of a retry and the attempt counted as a failure that may have run (obstacleToLeaving). If something is in the way it logs and counts a tolerated silence, and asks again with each check, up to the end of the caller's or the route's time. A caller that leaves still cancels at once.

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -169,7 +169,7 @@
         }
         if (this->answerStarted) {
             const bool isComplete = this->streamComplete;
-            const bool canResume = !isComplete && mayResume(this->progress, this->retryMeans());
+            const bool canResume = !isComplete && mayResume(this->progress, this->retryMeans(this->candidates(this->hasFailedOnCandidate)));
             this->logAttempt(outcome, canResume ? NextStep::TryAnother : NextStep::Deliver);
             if (canResume) {
                 continue;
@@ -183,7 +183,7 @@
             }
             co_return;
         }
-        const NextStep step = nextStep(this->progress, outcome, this->retryMeans());
+        const NextStep step = nextStep(this->progress, outcome, this->retryMeans(this->candidates(this->hasFailedOnCandidate)));
         this->logAttempt(outcome, step);
         if (step == NextStep::TryAnother) {
             continue;
@@ -194,10 +194,9 @@
     this->reason = "caller_gone";
 }
 
-std::vector<const EndpointEntry *> RequestRun::candidates() const
+std::vector<const EndpointEntry *> RequestRun::candidates(bool hasFailed) const
 {
-    const VersionQuery query {
-        this->service, this->gatewayRequest.session, sessionFraction(this->gatewayRequest), this->hasFailedOnCandidate, !this->triedEndpoints.empty()};
+    const VersionQuery query {this->service, this->gatewayRequest.session, sessionFraction(this->gatewayRequest), hasFailed, !this->triedEndpoints.empty()};
     return this->state.versions.filter(query, this->availableEndpoints(), monotonicNow());
 }
 
@@ -242,7 +241,7 @@
 {
     SelectionInputs inputs;
     inputs.now = monotonicNow();
-    inputs.endpoints = this->candidates();
+    inputs.endpoints = this->candidates(this->hasFailedOnCandidate);
     inputs.query = this->makeQuery();
     inputs.times = {
         this->route->latencyObjective, this->timeToObjective(), this->remaining(), this->state.chooser.loads().meanPromptWait(this->service, inputs.now)};
@@ -257,7 +256,7 @@
     this->modelSelection.recordAnswer(answer);
     // An escalation executes the request once more and adds one arrival at the service, so it counts against both limits.
     const bool mayRunAgain = mayRepeat(this->route->repeatRule) && this->progress.possibleRuns + 1 < this->progress.attemptLimit;
-    if (this->answerStarted || !answer.confidence || !mayRunAgain || !this->retryMeans().hasBudget) {
+    if (this->answerStarted || !answer.confidence || !mayRunAgain || !this->retryMeans(this->candidates(this->hasFailedOnCandidate)).hasBudget) {
         return false;
     }
     this->isEscalating = this->modelSelection.escalate(this->selectionInputs());
@@ -272,7 +271,7 @@
         this->modelSelection.chooseFirst(this->selectionInputs());
         next.query.model = this->modelSelection.model();
     }
-    auto choice = this->state.chooser.choose(this->candidates(), next.query, monotonicNow(), this->state.random);
+    auto choice = this->state.chooser.choose(this->candidates(this->hasFailedOnCandidate), next.query, monotonicNow(), this->state.random);
     if (!choice) {
         return false;
     }
@@ -503,11 +502,11 @@
     }
 }
 
-RetryConditions RequestRun::retryMeans()
+RetryConditions RequestRun::retryMeans(const std::vector<const EndpointEntry *> &endpoints)
 {
     RetryConditions means;
     means.remaining = this->remaining();
-    for (const EndpointEntry *endpoint : this->candidates()) {
+    for (const EndpointEntry *endpoint : endpoints) {
         means.hasEndpoint = means.hasEndpoint || !this->triedEndpoints.contains(endpoint->id);
     }
     means.isPromptSuspect = this->state.promptQuarantine.isSuspect(this->gatewayRequest.promptParts, monotonicNow());
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -51,6 +51,8 @@
     bool isTimeRecorded = false;
     /// Whether the endpoint closed or reset the connection before the answer was complete.
     bool isConnectionLost = false;
+    /// Whether a silence that is tolerated was logged.
+    bool isSilenceLogged = false;
 };
 
 /// Serves one request of a caller: validates it, tries endpoints, and sends the answer.
@@ -74,8 +76,11 @@
     boost::asio::awaitable<bool> checkRequest();
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<AttemptOutcome> attempt();
-    /// Starts a watch that cancels the current attempt once it stalls. The watch ends when the returned flag is set.
+    /// Starts a watch that cancels the current attempt once it has stalled and the request can go on elsewhere. The watch ends when the
+    /// returned flag is set.
     std::shared_ptr<bool> watchForStall();
+    /// Cancels the current attempt if it has stalled and the request can go on elsewhere now. Returns whether it was cancelled.
+    bool leaveIfStalled();
     StallEvidence stallEvidence() const;
     StallLimits stallLimits() const;
     boost::asio::awaitable<AttemptOutcome> readAnswer(std::unique_ptr<HttpResponseStream> stream);
@@ -90,7 +95,7 @@
     /// Decides whether to discard the answer and make the next attempt with a larger model.
     bool escalate(const AnswerMetadata &answer);
     void endAttempt(EndpointResult result);
-    std::vector<const EndpointEntry *> candidates() const;
+    std::vector<const EndpointEntry *> candidates(bool hasFailed) const;
     /// Ready endpoints of the service that this instance may send a request to now, by what they say of themselves.
     std::vector<const EndpointEntry *> availableEndpoints() const;
     /// Time until the first endpoint that is closed or at its limit takes a request of this instance; zero if there is none, or if other instances
@@ -116,7 +121,7 @@
     boost::asio::awaitable<void> refuseQuarantined(QuarantinedPart part);
     bool isStreamWhole(const HttpResponseStream &stream, bool hasPartialEvent, std::int64_t events) const;
     HttpCallOptions callOptions(Duration limit);
-    RetryConditions retryMeans();
+    RetryConditions retryMeans(const std::vector<const EndpointEntry *> &endpoints);
     Duration remaining() const;
     Duration timeToObjective() const;
     Duration retryDelay();
--- a/Libraries/LibEntry/RequestRunStall.cpp
+++ b/Libraries/LibEntry/RequestRunStall.cpp
@@ -31,11 +31,7 @@
                 co_return;
             }
             this->recordOverdueVersionTime();
-            const StallEvidence evidence = this->stallEvidence();
-            if (isStalled(evidence, this->stallLimits())) {
-                this->logSilence(evidence, "cancelled", obstacleToLeaving(this->progress, this->retryMeans()));
-                this->stalled = true;
-                this->caller->canceller->cancel();
+            if (this->leaveIfStalled()) {
                 co_return;
             }
         }
@@ -44,6 +40,28 @@
     return ended;
 }
 
+// An endpoint that is silent may still finish its answer, so it is left only for another one.
+bool RequestRun::leaveIfStalled()
+{
+    const StallEvidence evidence = this->stallEvidence();
+    if (!isStalled(evidence, this->stallLimits())) {
+        return false;
+    }
+    // The attempt counts as a failure once it is left.
+    const RetryObstacle obstacle = obstacleToLeaving(this->progress, this->retryMeans(this->candidates(true)));
+    if (obstacle != RetryObstacle::None) {
+        if (!this->currentAttempt->isSilenceLogged) {
+            this->currentAttempt->isSilenceLogged = true;
+            this->logSilence(evidence, "tolerated", obstacle);
+        }
+        return false;
+    }
+    this->logSilence(evidence, "cancelled", obstacle);
+    this->stalled = true;
+    this->caller->canceller->cancel();
+    return true;
+}
+
 StallEvidence RequestRun::stallEvidence() const
 {
     const MonotonicTime now = monotonicNow();
--- a/Libraries/LibGateway/StallRules.h
+++ b/Libraries/LibGateway/StallRules.h
@@ -29,9 +29,8 @@
 
 /// Silence after which an endpoint that sends output to no one has stalled.
 Duration stallTimeout(const StallEvidence &evidence, const StallLimits &limits);
-/// Whether the stream has stalled, so that the attempt is ended and, where allowed, the stream is resumed elsewhere. The timeout is longer
-/// for an engine that still sends output to other requests, since it is only overloaded and reading the prompt a second time would add
-/// to the load.
+/// Whether the stream has stalled, so that the attempt is left if the request can go on elsewhere. The timeout is longer for an engine that
+/// still sends output to other requests, since it is only overloaded and reading the prompt a second time would add to the load.
 bool isStalled(const StallEvidence &evidence, const StallLimits &limits);
 
 } // namespace Godwitfork
--- a/Tests/LibEntry/EntryFixture.cpp
+++ b/Tests/LibEntry/EntryFixture.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -30,6 +32,10 @@
     return response;
 }
 
+/// Receive buffer of a raw caller, in bytes.
+constexpr int rawReceiveBuffer = 64 * 1024;
+/// Time within which a router notices that its caller has left.
+constexpr Duration leaveTime = std::chrono::milliseconds(500);
 constexpr Duration resetDelay = std::chrono::milliseconds(100);
 const HttpAddress anyPort {"127.0.0.1", 0};
 } // namespace
@@ -67,21 +73,27 @@
 }
 
 void EntryFixture::addUnframedEndpoint(const std::string &id, std::string response, bool resets)
+{
+    this->addRawEndpoint(id, [answer = RawAnswer {std::move(response), resets}](const std::string &) { return answer; });
+}
+
+void EntryFixture::addRawEndpoint(const std::string &id, RawScript script)
 {
     using Tcp = Asio::ip::tcp;
     auto acceptor = std::make_shared<Tcp::acceptor>(this->context, Tcp::endpoint(Asio::ip::make_address(anyPort.host), 0));
     this->putEntry(id, {anyPort.host, acceptor->local_endpoint().port()});
-    Asio::co_spawn(this->context, this->serveUnframed(std::move(acceptor), std::move(response), resets), Asio::detached);
+    Asio::co_spawn(this->context, this->serveRaw(std::move(acceptor), std::move(script)), Asio::detached);
 }
 
-Asio::awaitable<void> EntryFixture::serveUnframed(std::shared_ptr<Asio::ip::tcp::acceptor> acceptor, std::string response, bool resets)
+Asio::awaitable<void> EntryFixture::serveRaw(std::shared_ptr<Asio::ip::tcp::acceptor> acceptor, RawScript script)
 {
     while (true) {
         auto socket = co_await acceptor->async_accept(Asio::use_awaitable);
         std::string request;
         co_await Asio::async_read_until(socket, Asio::dynamic_buffer(request), "body", Asio::use_awaitable);
-        co_await Asio::async_write(socket, Asio::buffer(response), Asio::use_awaitable);
-        if (resets) {
+        const RawAnswer answer = script(request);
+        co_await Asio::async_write(socket, Asio::buffer(answer.bytes), Asio::use_awaitable);
+        if (answer.resets) {
             // The answer must arrive before the reset discards it.
             Asio::steady_timer timer(this->context, resetDelay);
             co_await timer.async_wait(Asio::use_awaitable);
@@ -139,22 +151,82 @@
 
 HttpResponse EntryFixture::send(HttpHeaders headers)
 {
-    HttpResponse answer;
-    answer.status = 0;
-    bool isDone = false;
+    return this->sendTogether({std::move(headers)}).front();
+}
+
+std::vector<HttpResponse> EntryFixture::sendTogether(std::vector<HttpHeaders> requests)
+{
+    std::vector<HttpResponse> answers(requests.size());
+    std::size_t ended = 0;
     const HttpAddress address = this->router.address();
-    auto call = [&]() -> Asio::awaitable<void> {
-        auto result = co_await this->callerClient.call(address, makeRequest("POST", "/a/b", "body", headers), {});
+    auto call = [&](std::size_t index) -> Asio::awaitable<void> {
+        auto result = co_await this->callerClient.call(address, makeRequest("POST", "/a/b", "body", requests[index]), {});
+        answers[index].status = 0;
         if (result) {
-            answer = std::move(result).value();
+            answers[index] = std::move(result).value();
         }
+        ++ended;
+    };
+    for (std::size_t i = 0; i < requests.size(); ++i) {
+        Asio::co_spawn(this->context, call(i), Asio::detached);
+    }
+    while (ended < requests.size()) {
+        this->context.run_one();
+    }
+    return answers;
+}
+
+std::string EntryFixture::rawRequest(const HttpHeaders &headers)
+{
+    std::string request = "POST /a/b HTTP/1.1\r\nConnection: close\r\nContent-Length: 4\r\n";
+    for (const HttpHeader &header : headers) {
+        request += header.name + ": " + header.value + "\r\n";
+    }
+    return request + "\r\nbody";
+}
+
+std::string EntryFixture::sendRaw(const HttpHeaders &headers, Duration delay)
+{
+    const std::string request = rawRequest(headers);
+    std::string received;
+    bool isDone = false;
+    const HttpAddress address = this->router.address();
+    auto call = [&]() -> Asio::awaitable<void> {
+        Asio::ip::tcp::socket socket(this->context, Asio::ip::tcp::v4());
+        socket.set_option(Asio::socket_base::receive_buffer_size(rawReceiveBuffer));
+        const Asio::ip::tcp::endpoint peer(Asio::ip::make_address(address.host), address.port);
+        co_await socket.async_connect(peer, Asio::use_awaitable);
+        co_await Asio::async_write(socket, Asio::buffer(request), Asio::use_awaitable);
+        Asio::steady_timer timer(this->context, delay);
+        co_await timer.async_wait(Asio::use_awaitable);
+        boost::system::error_code error;
+        co_await Asio::async_read(socket, Asio::dynamic_buffer(received), Asio::redirect_error(Asio::use_awaitable, error));
         isDone = true;
     };
     Asio::co_spawn(this->context, std::move(call), Asio::detached);
     while (!isDone) {
         this->context.run_one();
     }
-    return answer;
+    return received;
+}
+
+void EntryFixture::sendAndLeave(const HttpHeaders &headers, Duration delay)
+{
+    using Tcp = Asio::ip::tcp;
+    const std::string request = rawRequest(headers);
+    const HttpAddress address = this->router.address();
+    Tcp::socket socket(this->context);
+    socket.connect(Tcp::endpoint(Asio::ip::make_address(address.host), address.port));
+    Asio::write(socket, Asio::buffer(request));
+    this->context.run_for(delay);
+    socket.close();
+    this->context.run_for(leaveTime);
+}
+
+void EntryFixture::runLater(Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<Asio::steady_timer>(this->context, delay);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code &) { action(); });
 }
 
 Route makeRoute(RepeatRule rule, int attemptLimit)
--- a/Tests/LibEntry/EntryFixture.h
+++ b/Tests/LibEntry/EntryFixture.h
@@ -19,26 +19,44 @@
 class EntryFixture
 {
 public:
+    /// Bytes of an answer, and whether the connection is then reset, not closed.
+    struct RawAnswer {
+        std::string bytes;
+        bool resets = false;
+    };
+
+    using RawScript = std::function<RawAnswer(const std::string &request)>;
     using EndpointScript = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
 
     EntryFixture();
 
     /// Adds a ready endpoint whose requests are handled by `script`.
     void addEndpoint(const std::string &id, EndpointScript script);
-    /// Adds a ready endpoint that answers each connection's first request with `response`, without length or chunks, and then closes the
-    /// connection, or resets it.
+    /// Adds a ready endpoint that answers each connection's first request, given to `script` as received, with the bytes that it returns and
+    /// then closes the connection, or resets it.
+    void addRawEndpoint(const std::string &id, RawScript script);
+    /// As `addRawEndpoint`, with the same answer, without length or chunks, to each request.
     void addUnframedEndpoint(const std::string &id, std::string response, bool resets);
     /// Adds a ready endpoint that writes, on one kept connection, `answers[n]` after the n-th request; `{id}` stands for the request's id.
     void addScriptedEndpoint(const std::string &id, std::vector<std::string> answers, int *requests);
     void setRoute(Route route);
     /// Sends a request to the router and waits for the answer. Returns status 0 if the connection is lost.
     HttpResponse send(HttpHeaders headers);
+    /// Sends requests at the same time, on a connection each, and waits for all answers.
+    std::vector<HttpResponse> sendTogether(std::vector<HttpHeaders> requests);
+    /// Sends a request on a connection that the router closes after the answer, starts to read `delay` later, and returns all bytes received.
+    std::string sendRaw(const HttpHeaders &headers, Duration delay);
+    /// Sends a request, closes its connection `delay` later, and runs the router for another half second.
+    void sendAndLeave(const HttpHeaders &headers, Duration delay);
+    /// Runs `action` once, `delay` from now, while requests are sent.
+    void runLater(Duration delay, std::function<void()> action);
 
     EntryState state;
 
 private:
+    static std::string rawRequest(const HttpHeaders &headers);
     void putEntry(const std::string &id, HttpAddress address);
-    boost::asio::awaitable<void> serveUnframed(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor, std::string response, bool resets);
+    boost::asio::awaitable<void> serveRaw(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor, RawScript script);
     boost::asio::awaitable<void> serveScripted(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor, std::vector<std::string> answers, int *requests);
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
 
--- a/Tests/LibGateway/TestAttemptRules.cpp
+++ b/Tests/LibGateway/TestAttemptRules.cpp
@@ -113,3 +113,21 @@
         }
     });
 }
+
+TEST_CASE("An attempt is left only if the request can go on elsewhere once it counts as having run", "[attempt]")
+{
+    // Guards against LOST: an attempt was ended for its endpoint's silence although no other one could follow.
+    const auto obstacle = [](RepeatRule rule, int attemptLimit, int possibleRuns, const RetryConditions &conditions) {
+        return obstacleToLeaving({rule, attemptLimit, possibleRuns, possibleRuns}, conditions);
+    };
+    CHECK(obstacle(RepeatRule::ResumableStream, 2, 0, ample) == RetryObstacle::None);
+    CHECK(obstacle(RepeatRule::Idempotent, 2, 0, ample) == RetryObstacle::None);
+    CHECK(obstacle(RepeatRule::Stream, 2, 0, ample) == RetryObstacle::RepeatRule);
+    CHECK(obstacle(RepeatRule::NonIdempotent, 2, 0, ample) == RetryObstacle::RepeatRule);
+    CHECK(obstacle(RepeatRule::ResumableStream, 2, 1, ample) == RetryObstacle::AttemptLimit);
+    CHECK(obstacle(RepeatRule::ResumableStream, 1, 0, ample) == RetryObstacle::AttemptLimit);
+    CHECK(obstacle(RepeatRule::ResumableStream, 2, 0, {false, true, 1s}) == RetryObstacle::Endpoint);
+    CHECK(obstacle(RepeatRule::ResumableStream, 2, 0, {true, false, 1s}) == RetryObstacle::Budget);
+    CHECK(obstacle(RepeatRule::ResumableStream, 2, 0, {true, true, 10ms}) == RetryObstacle::Time);
+    CHECK(obstacle(RepeatRule::ResumableStream, 2, 0, {true, true, 1s, true}) == RetryObstacle::PromptSuspect);
+}
