--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -43,6 +43,10 @@
                                                                 .Name("godwitfork_entry_stop_requests_total")
                                                                 .Help("Requests that ended while the process stopped, by outcome")
                                                                 .Register(this->registry);
+    prometheus::Family<prometheus::Counter> &silences = prometheus::BuildCounter()
+                                                            .Name("godwitfork_entry_endpoint_silences_total")
+                                                            .Help("Attempts whose endpoint was silent beyond its limit, by route, action and obstacle")
+                                                            .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &trialAnswers = prometheus::BuildGauge()
                                                               .Name("godwitfork_entry_trial_answers")
                                                               .Help("Answers counted for a version under trial, by service, version and result")
@@ -93,6 +97,11 @@
     this->state->stopRequests.Add({{"outcome", outcome}}).Increment();
 }
 
+void EntryMetrics::recordSilence(const std::string &route, const char *action, const char *obstacle)
+{
+    this->state->silences.Add({{"route", route}, {"action", action}, {"obstacle", obstacle}}).Increment();
+}
+
 void EntryMetrics::setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures)
 {
     this->state->trialAnswers.Add({{"service", service}, {"version", version}, {"result", "all"}}).Set(answers);
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -42,6 +42,9 @@
     void recordAnnouncement(const std::string &service, const char *kind);
     /// Counts a request that ended while the process stopped; `outcome` is "answered", "refused_late", "broken_off" or "caller_gone".
     void recordStopRequest(const char *outcome);
+    /// Counts an attempt whose endpoint was silent beyond its limit; `action` is "cancelled" or "tolerated", `obstacle` what kept the request
+    /// from going on elsewhere.
+    void recordSilence(const std::string &route, const char *action, const char *obstacle);
     /// Sets the numbers of answers and of failures that this instance has counted for a version under trial.
     void setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures);
     std::string toText(const EntryGauges &gauges);
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -2,15 +2,9 @@
 
 #include "LibCore/Digest.h"
 #include "LibCore/Log.h"
-#include "LibGateway/StallRules.h"
 #include "LibHttp/EventSplitter.h"
 #include "RequestHeaders.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -29,7 +23,6 @@
 /// Part of the caller's deadline reserved for sending the answer back.
 constexpr Duration answerMargin = std::chrono::milliseconds(10);
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
-constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
 /// Delay after a refusal of an instance that stops. It is short, since another instance takes the request at once.
@@ -185,7 +178,7 @@
         }
         if (this->answerStarted) {
             const bool isComplete = this->streamComplete;
-            const bool canResume = !isComplete && mayResume(this->progress, this->retryMeans());
+            const bool canResume = !isComplete && mayResume(this->progress, this->retryMeans(this->candidates(this->hasFailedOnCandidate)));
             this->logAttempt(outcome, canResume ? NextStep::TryAnother : NextStep::Deliver);
             if (canResume) {
                 continue;
@@ -199,7 +192,7 @@
             }
             co_return;
         }
-        const NextStep step = nextStep(this->progress, outcome, this->retryMeans());
+        const NextStep step = nextStep(this->progress, outcome, this->retryMeans(this->candidates(this->hasFailedOnCandidate)));
         this->logAttempt(outcome, step);
         if (step == NextStep::TryAnother) {
             continue;
@@ -210,10 +203,9 @@
     this->reason = "caller_gone";
 }
 
-std::vector<const EndpointEntry *> RequestRun::candidates() const
+std::vector<const EndpointEntry *> RequestRun::candidates(bool hasFailed) const
 {
-    const VersionQuery query {
-        this->service, this->gatewayRequest.session, sessionFraction(this->gatewayRequest), this->hasFailedOnCandidate, !this->triedEndpoints.empty()};
+    const VersionQuery query {this->service, this->gatewayRequest.session, sessionFraction(this->gatewayRequest), hasFailed, !this->triedEndpoints.empty()};
     return this->state.versions.filter(query, this->availableEndpoints(), monotonicNow());
 }
 
@@ -258,7 +250,7 @@
 {
     SelectionInputs inputs;
     inputs.now = monotonicNow();
-    inputs.endpoints = this->candidates();
+    inputs.endpoints = this->candidates(this->hasFailedOnCandidate);
     inputs.query = this->makeQuery();
     inputs.times = {
         this->route->latencyObjective, this->timeToObjective(), this->remaining(), this->state.chooser.loads().meanPromptWait(this->service, inputs.now)};
@@ -273,7 +265,7 @@
     this->modelSelection.recordAnswer(answer);
     // An escalation executes the request once more and adds one arrival at the service, so it counts against both limits.
     const bool mayRunAgain = mayRepeat(this->route->repeatRule) && this->progress.possibleRuns + 1 < this->progress.attemptLimit;
-    if (this->answerStarted || !answer.confidence || !mayRunAgain || !this->retryMeans().hasBudget) {
+    if (this->answerStarted || !answer.confidence || !mayRunAgain || !this->retryMeans(this->candidates(this->hasFailedOnCandidate)).hasBudget) {
         return false;
     }
     this->isEscalating = this->modelSelection.escalate(this->selectionInputs());
@@ -288,7 +280,7 @@
         this->modelSelection.chooseFirst(this->selectionInputs());
         next.query.model = this->modelSelection.model();
     }
-    auto choice = this->state.chooser.choose(this->candidates(), next.query, monotonicNow(), this->state.random);
+    auto choice = this->state.chooser.choose(this->candidates(this->hasFailedOnCandidate), next.query, monotonicNow(), this->state.random);
     if (!choice) {
         return false;
     }
@@ -359,42 +351,6 @@
     co_return outcome;
 }
 
-// Capturing `this` is safe: the flag is set before the attempt ends, and this object outlives the attempt.
-std::shared_ptr<bool> RequestRun::watchForStall()
-{
-    auto ended = std::make_shared<bool>(false);
-    auto watch = [this, ended]() -> Asio::awaitable<void> {
-        Asio::steady_timer timer(this->context.context);
-        while (true) {
-            timer.expires_after(stallCheckInterval);
-            boost::system::error_code ignored;
-            co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
-            if (*ended) {
-                co_return;
-            }
-            this->recordOverdueVersionTime();
-            if (this->isAttemptStalled()) {
-                this->stalled = true;
-                this->caller->canceller->cancel();
-                co_return;
-            }
-        }
-    };
-    Asio::co_spawn(this->context.context, std::move(watch), Asio::detached);
-    return ended;
-}
-
-bool RequestRun::isAttemptStalled() const
-{
-    const MonotonicTime now = monotonicNow();
-    StallEvidence evidence;
-    evidence.hasFirstEvent = this->currentAttempt->firstOutput.has_value();
-    evidence.silence = now - this->currentAttempt->lastEventAt;
-    const EndpointLoad &load = this->state.chooser.loads().find(this->currentAttempt->choice.endpoint.id);
-    evidence.sinceEndpointOutput = load.sinceFleetOutput(now);
-    return isStalled(evidence, {this->currentAttempt->choice.firstOutput, this->route->latencyObjective, this->route->pauseObjective});
-}
-
 Asio::awaitable<AttemptOutcome> RequestRun::readAnswer(std::unique_ptr<HttpResponseStream> stream)
 {
     AttemptOutcome outcome;
@@ -555,11 +511,11 @@
     }
 }
 
-RetryConditions RequestRun::retryMeans()
+RetryConditions RequestRun::retryMeans(const std::vector<const EndpointEntry *> &endpoints)
 {
     RetryConditions means;
     means.remaining = this->state.stop ? timeForAttempt(*this->state.stop, monotonicNow(), this->remaining()) : this->remaining();
-    for (const EndpointEntry *endpoint : this->candidates()) {
+    for (const EndpointEntry *endpoint : endpoints) {
         means.hasEndpoint = means.hasEndpoint || !this->triedEndpoints.contains(endpoint->id);
     }
     means.isPromptSuspect = this->state.promptQuarantine.isSuspect(this->gatewayRequest.promptParts, monotonicNow());
