Stop using an endpoint whose entry is no longer understood

Callers' requests went on to an endpoint that no readable entry names, for up to 2 s after the end of a store outage: an entry that another writer had overwritten was held like one that had expired in the outage. At other times it was removed and told to the other instances as left, though the endpoint itself may be alive and its next write restores the entry. Such an endpoint leaves routing at once now, whatever became of the store, and nobody is told that it left. A removed name is removed as before.

--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <set>
 
 namespace Godwitfork
 {
@@ -65,6 +66,29 @@
     }
 }
 
+/// Removes an endpoint whose entry is no longer understood. Unlike one that is missing after an outage it is not kept, since the store has its
+/// entry.
+void removeUnnamed(EntryState &state, const std::string &id, MonotonicTime now)
+{
+    const std::vector<EndpointChange> changes = state.endpoints.remove(id, {}, now);
+    logEndpointChanges(state, changes);
+    // The endpoint may still be alive, and its entry be overwritten soon, so other instances are not told that it left.
+    if (!changes.empty()) {
+        std::erase_if(state.recentlyRemoved, [&](const auto &left) { return left.first.id == id; });
+    }
+}
+
+void applyEndpoint(EntryState &state, const CatalogChange &change, SnapshotTrust trust, MonotonicTime now)
+{
+    if (change.object) {
+        logEndpointChanges(state, state.endpoints.put(std::get<EndpointEntry>(*change.object), now));
+    } else if (change.fault != ItemFault::None) {
+        removeUnnamed(state, change.name, now);
+    } else {
+        logEndpointChanges(state, state.endpoints.remove(change.name, trust, now));
+    }
+}
+
 void applyRollout(EntryState &state, const CatalogChange &change, MonotonicTime now)
 {
     if (!change.object) {
@@ -82,12 +106,19 @@
 void applyEndpointList(EntryState &state, const CatalogPage &page, SnapshotTrust trust, MonotonicTime now)
 {
     std::vector<EndpointEntry> entries;
+    std::set<std::string> unnamed;
     for (const CatalogChange &change : page.changes) {
         recordProblem(state, CatalogKind::Endpoints, change, now);
         if (change.object) {
             entries.push_back(std::get<EndpointEntry>(*change.object));
+            unnamed.erase(change.name);
+        } else if (change.fault != ItemFault::None) {
+            unnamed.insert(change.name);
         }
     }
+    for (const std::string &id : unnamed) {
+        removeUnnamed(state, id, now);
+    }
     logEndpointChanges(state, state.endpoints.replaceAll(entries, trust, now));
     state.endpointsKnown = true;
 }
@@ -132,8 +163,7 @@
         }
         break;
     case CatalogKind::Endpoints:
-        logEndpointChanges(state,
-                           change.object ? state.endpoints.put(std::get<EndpointEntry>(*change.object), now) : state.endpoints.remove(change.name, trust, now));
+        applyEndpoint(state, change, trust, now);
         break;
     case CatalogKind::Rollouts:
         applyRollout(state, change, now);
--- /dev/null
+++ b/Tests/LibEntry/TestCatalogChanges.cpp
@@ -0,0 +1,92 @@
+#include "LibEntry/CatalogChanges.h"
+
+#include "CatalogDecoder.h"
+#include "LibGateway/CatalogHistory.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Godwitfork;
+using namespace std::chrono_literals;
+
+namespace
+{
+std::string endpointText(const std::string &name, const std::string &address)
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":9},"spec":{"service":"pool","address":")" + address
+        + R"(","zone":"a","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"sequence":1,"born":1700000000000}})";
+}
+
+std::string rolloutText(const std::string &target)
+{
+    return R"({"metadata":{"name":"pool","revision":3},"spec":{"service":"pool","target":)" + target + R"(,"durationS":15}})";
+}
+
+CatalogPage listPage(CatalogKind kind, const std::string &items)
+{
+    return Platform::decodeList(kind, R"({"entries":[)" + items + R"(],"hasMore":false,"at":7})").value().page;
+}
+
+void applyEvents(EntryState &state, CatalogKind kind, const std::string &events, SnapshotTrust trust, MonotonicTime now)
+{
+    const auto page = Platform::decodeEvents(kind, R"({"events":[)" + events + R"(],"at":8})");
+    for (const CatalogChange &change : page.value().changes) {
+        applyCatalogChange(state, kind, change, trust, now);
+    }
+}
+
+const std::string unreadableAddress = "\xff\xfe";
+const MonotonicTime start = MonotonicTime(1h);
+} // namespace
+
+TEST_CASE("An entry that turns unreadable names no endpoint, also soon after a store outage, until it is readable again", "[catalog]")
+{
+    // Guards against requests to endpoints that no entry names (ROUTE): an overwritten entry was held like one that had expired in an outage.
+    const SnapshotTrust trust = GENERATE(SnapshotTrust {}, SnapshotTrust {start - 100ms});
+    const bool isListed = GENERATE(true, false);
+    EntryState state {EntrySettings()};
+    const std::string items = endpointText("i-1", "10.0.0.1:80") + "," + endpointText("i-2", "10.0.0.2:80");
+    applyEndpointList(state, listPage(CatalogKind::Endpoints, items), {}, start);
+    REQUIRE(state.endpoints.size() == 2);
+    if (isListed) {
+        const std::string odd = endpointText("i-1", unreadableAddress) + "," + endpointText("i-2", "10.0.0.2:80");
+        applyEndpointList(state, listPage(CatalogKind::Endpoints, odd), trust, start);
+    } else {
+        applyEvents(state, CatalogKind::Endpoints, R"({"object":)" + endpointText("i-1", unreadableAddress) + "}", trust, start);
+    }
+    CHECK_FALSE(state.endpoints.find("i-1"));
+    CHECK(state.endpoints.find("i-2"));
+    // The endpoint itself has not left, so other instances are not told that it has.
+    CHECK(state.recentlyRemoved.empty());
+    CHECK(state.ignoredItems.counts().at({"endpoints", "unreadable"}) == 1);
+    applyEvents(state, CatalogKind::Endpoints, R"({"object":)" + endpointText("i-1", "10.0.0.1:80") + "}", trust, start);
+    CHECK(state.endpoints.find("i-1"));
+}
+
+TEST_CASE("An unreadable entry whose name was never understood changes no endpoint", "[catalog]")
+{
+    // Guards against RECOVER: one entry of another writer hid all endpoints.
+    EntryState state {EntrySettings()};
+    const std::string items = endpointText("i-1", "10.0.0.1:80") + "," + endpointText("other-1", unreadableAddress);
+    applyEndpointList(state, listPage(CatalogKind::Endpoints, items), {}, start);
+    CHECK(state.endpointsKnown);
+    CHECK(state.endpoints.size() == 1);
+    applyEvents(state, CatalogKind::Endpoints, R"({"object":)" + endpointText("other-2", unreadableAddress) + R"(},7,{"deleted":true})", {}, start);
+    CHECK(state.endpoints.size() == 1);
+    applyEvents(state, CatalogKind::Endpoints, R"({"deleted":true,"object":)" + endpointText("i-1", unreadableAddress) + "}", {}, start);
+    CHECK(state.endpoints.size() == 0);
+}
+
+TEST_CASE("Items that are not understood are counted one by one and logged once in a while", "[catalog]")
+{
+    IgnoredItems items;
+    int logged = 0;
+    for (int i = 0; i < 1000; ++i) {
+        logged += items.record("endpoints", i % 2 == 0 ? ItemFault::Unreadable : ItemFault::MissingField, 1, start + i * 10ms) ? 1 : 0;
+    }
+    CHECK(logged == 10);
+    CHECK(items.counts().at({"endpoints", "unreadable"}) == 500);
+    CHECK(items.counts().at({"endpoints", "missing_field"}) == 500);
+    CHECK(items.takeUnlogged() == 990);
+    CHECK(items.takeUnlogged() == 0);
+}
