Keep a roll-out's order when its object is no longer understood

An object that another writer made unreadable counted as the removal of the order, so a roll-out in progress ended without a verdict. Only its removal ends it now.

--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -91,6 +91,10 @@
 
 void applyRollout(EntryState &state, const CatalogChange &change, MonotonicTime now)
 {
+    // An order that is no longer understood still stands.
+    if (change.fault != ItemFault::None) {
+        return;
+    }
     if (!change.object) {
         state.versions.removeOrder(change.name);
         return;
--- a/Tests/LibEntry/TestCatalogChanges.cpp
+++ b/Tests/LibEntry/TestCatalogChanges.cpp
@@ -77,6 +77,21 @@
     CHECK(state.endpoints.size() == 0);
 }
 
+TEST_CASE("A roll-out that turns unreadable keeps the order that was understood until it is removed", "[catalog]")
+{
+    // Guards against a roll-out that ends without a verdict: an object that was not understood counted as the order's removal.
+    EntryState state {EntrySettings()};
+    applyEvents(state, CatalogKind::Rollouts, R"({"object":)" + rolloutText(R"("v2")") + "}", {}, start);
+    REQUIRE(state.versions.rollouts().contains("pool"));
+    for (const std::string target : {"7", "\"\xff\"", "null"}) {
+        applyEvents(state, CatalogKind::Rollouts, R"({"object":)" + rolloutText(target) + "}", {}, start);
+        REQUIRE(state.versions.rollouts().contains("pool"));
+        CHECK(state.versions.rollouts().at("pool").order.target == "v2");
+    }
+    applyEvents(state, CatalogKind::Rollouts, R"({"deleted":true,"object":)" + rolloutText("7") + "}", {}, start);
+    CHECK_FALSE(state.versions.rollouts().contains("pool"));
+}
+
 TEST_CASE("Items that are not understood are counted one by one and logged once in a while", "[catalog]")
 {
     IgnoredItems items;
