Relay unreadable bytes so that followers do not understand them either

Followers of a hub took an entry for an endpoint that the hub itself refused: bytes that are not UTF-8 became a readable character in the hub's frame, so a zone or version that cannot be read could be. They are sent as a byte that no JSON text may hold, which leaves the object around it unreadable. The age in a heartbeat has a range.

--- a/Libraries/LibGateway/CatalogHistory.cpp
+++ b/Libraries/LibGateway/CatalogHistory.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/CatalogHistory.h"
 
+#include "LibCore/Utf8.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -7,6 +9,14 @@
 namespace Godwitfork
 {
 
+namespace
+{
+/// Replaces bytes of a page that a frame cannot hold. No JSON text may contain it, so the object around it stays unreadable.
+constexpr char unreadableByte = '\x01';
+/// In milliseconds.
+constexpr std::int64_t maxStoreAnswerAge = std::int64_t {1000} * 3600 * 24;
+} // namespace
+
 CatalogHistory::CatalogHistory(std::size_t maxPages, std::size_t maxBytes) : maxPages(maxPages), maxBytes(maxBytes)
 {
 }
@@ -50,9 +60,9 @@
     if (frame.type == RelayFrame::Type::Page) {
         json.push_back(frame.page.from);
         json.push_back(frame.page.to);
-        json.push_back(frame.page.body);
+        json.push_back(replaceInvalidUtf8(frame.page.body, unreadableByte));
     }
-    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return json.dump();
 }
 
 std::optional<RelayFrame> decodeRelayFrame(const std::string &text)
@@ -70,7 +80,11 @@
         frame.kind = static_cast<CatalogKind>(kind);
         if (frame.type == RelayFrame::Type::Alive) {
             frame.revision = json.at(2).get<CatalogRevision>();
-            frame.storeAnswerAge = std::chrono::milliseconds(json.at(3).get<std::int64_t>());
+            const auto age = json.at(3).get<std::int64_t>();
+            if (age < 0 || age > maxStoreAnswerAge) {
+                return std::nullopt;
+            }
+            frame.storeAnswerAge = std::chrono::milliseconds(age);
         }
         if (frame.type == RelayFrame::Type::Page) {
             frame.page = {json.at(2).get<CatalogRevision>(), json.at(3).get<CatalogRevision>(), json.at(4).get<std::string>()};
--- a/Tests/LibEntry/TestCatalogChanges.cpp
+++ b/Tests/LibEntry/TestCatalogChanges.cpp
@@ -92,6 +92,30 @@
     CHECK_FALSE(state.versions.rollouts().contains("pool"));
 }
 
+TEST_CASE("A follower understands the same entries of a relayed page as its hub", "[catalog]")
+{
+    // Guards against requests to endpoints that no entry names (ROUTE): the hub's frame replaced unreadable bytes by a readable character.
+    for (const std::string odd : {"a\xff", "\xc0\xaf", "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xe2\x82", R"(\ud800)", "\x01", "\u00e9", "\U0001f9ff"}) {
+        INFO(odd);
+        std::string entry = endpointText("i-2", "10.0.0.2:80");
+        entry.replace(entry.find(R"("a")"), 3, '"' + odd + '"');
+        const std::string body = R"({"events":[{"object":)" + endpointText("i-1", "10.0.0.1:80") + R"(},{"object":)" + entry + R"(}],"at":8})";
+        const RelayFrame frame {RelayFrame::Type::Page, CatalogKind::Endpoints, {7, 8, body}};
+        const auto relayed = decodeRelayFrame(encodeRelayFrame(frame));
+        REQUIRE(relayed);
+        const auto atHub = Platform::decodeEvents(CatalogKind::Endpoints, body);
+        const auto atFollower = Platform::decodeEvents(CatalogKind::Endpoints, relayed->page.body);
+        REQUIRE(atHub);
+        REQUIRE(atFollower);
+        REQUIRE(atFollower.value().changes.size() == 2);
+        for (std::size_t i = 0; i < 2; ++i) {
+            CHECK(atFollower.value().changes[i].object == atHub.value().changes[i].object);
+            CHECK(atFollower.value().changes[i].fault == atHub.value().changes[i].fault);
+            CHECK(atFollower.value().changes[i].name == atHub.value().changes[i].name);
+        }
+    }
+}
+
 TEST_CASE("Items that are not understood are counted one by one and logged once in a while", "[catalog]")
 {
     IgnoredItems items;
