Answer the requests in progress before a stop ends the process

Callers whose requests were in progress at the end of the grace got a closed connection (LOST): the event loop ended under them.

The endpoint and its version are not blamed. Streams that have begun go on until 0.05 s before the end and are then closed inside the stream, with their log lines.

--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -36,7 +36,7 @@
     void recordPromptRefusal(const std::string &service);
     /// Counts an answer in which an endpoint of the service said something new of itself; `kind` is "limit", "leaving" or "closed".
     void recordAnnouncement(const std::string &service, const char *kind);
-    /// Counts a request that ended while the process stopped; `outcome` is "answered", "refused_late", "broken_off" or "caller_gone".
+    /// Counts a request that ended while the process stopped; `outcome` is "answered", "refused_late", "interrupted", "broken_off" or "caller_gone".
     void recordStopRequest(const char *outcome);
     /// Sets the numbers of answers and of failures that this instance has counted for a version under trial.
     void setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures);
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -24,6 +24,10 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 /// Timeout of one store call. The store usually answers within milliseconds, but can be slow for a while.
 constexpr Duration storeTimeout = std::chrono::milliseconds(1500);
+/// Time before the end at which streams in progress are broken off; their log lines are written in it.
+constexpr Duration lastAbortTime = std::chrono::milliseconds(50);
+/// Interval of checks whether all connections are closed.
+constexpr Duration endCheckInterval = std::chrono::milliseconds(20);
 /// Time without a connection after which a stop needs no further wait for callers.
 constexpr Duration quietTime = std::chrono::milliseconds(500);
 /// Interval of checks for a settings file that changed without a signal.
@@ -248,6 +252,24 @@
     logEvent(LogLevel::Info, phase, fields);
 }
 
+Asio::awaitable<void> EntryService::waitForEnd(MonotonicTime latest)
+{
+    Asio::steady_timer timer(this->context);
+    while (this->callers.openConnections() > 0 && monotonicNow() < latest) {
+        timer.expires_at(std::min(monotonicNow() + endCheckInterval, latest));
+        boost::system::error_code ignored;
+        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+    }
+}
+
+void EntryService::interruptRequests(bool isWithAnswer)
+{
+    const int interrupted = this->state.requests.interrupt(isWithAnswer);
+    if (interrupted > 0) {
+        logEvent(LogLevel::Warning, "stop.interrupt", {{"interrupted", interrupted}, {"with_answer", isWithAnswer}});
+    }
+}
+
 // The balancer sends to all instances of a failure domain while too few are in rotation, so the listener stays open while anything may arrive.
 Asio::awaitable<void> EntryService::waitForQuiet()
 {
@@ -282,10 +304,12 @@
     co_await this->waitForQuiet();
     this->logStop("stop.close");
     this->callers.stop();
-    while (this->callers.openConnections() > 0 && monotonicNow() < this->state.stop->endsAt) {
-        timer.expires_after(tickInterval);
-        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
-    }
+    co_await this->waitForEnd(this->state.stop->interruptAt);
+    this->interruptRequests(false);
+    co_await this->waitForEnd(this->state.stop->endsAt - lastAbortTime);
+    // The connections of streams that have begun are closed inside the stream, so that it does not look complete.
+    this->interruptRequests(true);
+    co_await this->waitForEnd(this->state.stop->endsAt);
     for (const auto &follower : this->followers) {
         follower->stop();
     }
--- a/Libraries/LibEntry/EntryService.h
+++ b/Libraries/LibEntry/EntryService.h
@@ -37,6 +37,10 @@
     boost::asio::awaitable<void> waitForStop();
     /// Waits until the callers' listener has had no connection for a moment, or until the requests in progress are to be ended.
     boost::asio::awaitable<void> waitForQuiet();
+    /// Waits until no connection of a caller is open, or until `latest`.
+    boost::asio::awaitable<void> waitForEnd(MonotonicTime latest);
+    /// Ends the requests in progress whose answer has not begun, or all of them.
+    void interruptRequests(bool isWithAnswer);
     boost::asio::awaitable<void> waitForReload();
     /// Logs what is in progress at the start of a phase of the stop; `signal` is 0 if it did not start with one.
     void logStop(const char *phase, int signal = 0) const;
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -174,9 +174,12 @@
             break;
         }
         this->progress = recordAttempt(this->progress, outcome);
-        this->endAttempt(endpointResult(outcome));
-        this->recordVersionAnswer(outcome);
-        this->recordPromptCrash(outcome);
+        const bool isInterrupted = this->caller->interrupted && outcome.end != AttemptEnd::Answered;
+        this->endAttempt(isInterrupted ? EndpointResult::Ended : endpointResult(outcome));
+        if (!isInterrupted) {
+            this->recordVersionAnswer(outcome);
+            this->recordPromptCrash(outcome);
+        }
         if (this->isEscalating) {
             this->logEscalation();
             this->isEscalating = false;
@@ -356,6 +359,10 @@
         this->reason = "endpoint_stalled";
         outcome.end = AttemptEnd::TimedOut;
     }
+    if (this->caller->interrupted && outcome.end != AttemptEnd::Answered) {
+        this->reason = "instance_stopping";
+        outcome.isConnectionLost = false;
+    }
     co_return outcome;
 }
 
@@ -536,6 +543,7 @@
         co_return;
     }
     this->answerStarted = true;
+    this->caller->hasAnswer = true;
     this->status = stream.status();
     co_await this->exchange.startStream(stream.status(), Platform::callerAnswerHeaders(stream.headers()));
 }
@@ -579,6 +587,7 @@
         response.body = std::move(this->bufferedAnswer->body);
         this->status = response.status;
         this->answerStarted = true;
+        this->caller->hasAnswer = true;
         // The failure of an earlier attempt is logged with that attempt.
         this->reason = response.status < 300 ? "" : "endpoint_error";
         co_await this->exchange.respond(std::move(response));
@@ -598,6 +607,7 @@
     response.body = errorBody(cause);
     this->status = answerStatus;
     this->reason = std::move(cause);
+    this->caller->hasAnswer = true;
     co_await this->exchange.respond(std::move(response));
 }
 
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -123,6 +123,7 @@
     void recordOutputSpeed(std::int64_t events, Duration elapsed);
     void logEscalation() const;
     void logEnd() const;
+    const char *stopOutcome() const;
     /// Counts the request if the process is stopping, and adds the times of the stop to its log line.
     void recordStop(nlohmann::ordered_json &fields, MonotonicTime now) const;
 
--- a/Libraries/LibEntry/RequestRunLog.cpp
+++ b/Libraries/LibEntry/RequestRunLog.cpp
@@ -73,6 +73,20 @@
               {"elapsed_ms", toMilliseconds(monotonicNow() - this->started)}});
 }
 
+const char *RequestRun::stopOutcome() const
+{
+    if (this->caller->gone) {
+        return "caller_gone";
+    }
+    if (this->isRefusedLate) {
+        return "refused_late";
+    }
+    if (this->caller->interrupted) {
+        return "interrupted";
+    }
+    return this->reason == "stream_broken" ? "broken_off" : "answered";
+}
+
 void RequestRun::recordStop(nlohmann::ordered_json &fields, MonotonicTime now) const
 {
     if (!this->state.stop) {
@@ -80,8 +94,7 @@
     }
     fields["stop_arrival_ms"] = toMilliseconds(this->started - this->state.stop->began);
     fields["stop_left_ms"] = toMilliseconds(this->state.stop->endsAt - now);
-    const char *outcome = this->isRefusedLate ? "refused_late" : this->reason == "stream_broken" ? "broken_off" : "answered";
-    this->context.metrics.recordStopRequest(this->caller->gone ? "caller_gone" : outcome);
+    this->context.metrics.recordStopRequest(this->stopOutcome());
 }
 
 void RequestRun::logEnd() const
--- a/Libraries/LibEntry/RequestsInProgress.cpp
+++ b/Libraries/LibEntry/RequestsInProgress.cpp
@@ -14,6 +14,22 @@
             }};
 }
 
+int RequestsInProgress::interrupt(bool isWithAnswer)
+{
+    int interrupted = 0;
+    for (CallerConnection *request : *this->requests) {
+        if (request->gone || request->interrupted || (request->hasAnswer && !isWithAnswer)) {
+            continue;
+        }
+        request->interrupted = true;
+        ++interrupted;
+        if (request->canceller) {
+            request->canceller->cancel();
+        }
+    }
+    return interrupted;
+}
+
 int RequestsInProgress::count() const
 {
     return static_cast<int>(this->requests->size());
--- a/Libraries/LibEntry/RequestsInProgress.h
+++ b/Libraries/LibEntry/RequestsInProgress.h
@@ -12,6 +12,10 @@
 /// stop of the process.
 struct CallerConnection {
     bool gone = false;
+    /// Whether an answer to the caller has begun.
+    bool hasAnswer = false;
+    /// Whether the request was ended because the process stops.
+    bool interrupted = false;
     std::shared_ptr<HttpCallCanceller> canceller;
 };
 
@@ -22,6 +26,8 @@
     /// Adds a request, which counts as in progress until the result's last copy is gone.
     std::shared_ptr<CallerConnection> add();
     int count() const;
+    /// Cancels the attempts of all requests whose answer has not begun, or of all others as well, and returns their number.
+    int interrupt(bool isWithAnswer);
 
 private:
     /// Shared with the requests, which may outlive this object.
--- a/Tests/LibEntry/TestRequestRunStop.cpp
+++ b/Tests/LibEntry/TestRequestRunStop.cpp
@@ -77,3 +77,56 @@
     CHECK(entry.send(callerHeaders("id1")).status == 504);
     CHECK(arrivals == 1);
 }
+
+// Guards against LOST: what was in progress at the end of the stop was cut
+// before any answer.
+TEST_CASE("A request that is interrupted by the stop gets a complete answer "
+          "that says whether it may have run",
+          "[stop]")
+{
+    const RepeatRule rule = GENERATE(RepeatRule::NonIdempotent, RepeatRule::Idempotent, RepeatRule::ResumableStream);
+    EntryFixture entry;
+    entry.setRoute(makeRoute(rule, 3));
+    int arrivals = 0;
+    const auto interruptAndHold = [&](HttpExchange &) -> awaitable<void> {
+        ++arrivals;
+        entry.state.stop = stopSince(7400ms);
+        CHECK(entry.state.requests.count() == 1);
+        CHECK(entry.state.requests.interrupt(false) == 1);
+        CHECK(entry.state.requests.interrupt(true) == 0);
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, 1s);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    };
+    entry.addEndpoint("e1", interruptAndHold);
+    entry.addEndpoint("e2", interruptAndHold);
+    CHECK(entry.send(callerHeaders("id1")).status == 504);
+    CHECK(arrivals == 1);
+    CHECK(entry.state.requests.count() == 0);
+}
+
+// Guards against MIXED: a stream that the stop ends must not look complete.
+TEST_CASE("A stream that has begun is broken off by the end of the stop only, "
+          "and does not look complete",
+          "[stop]")
+{
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::ResumableStream, 3));
+    int arrivals = 0;
+    const auto streamAndInterrupt = [&](HttpExchange &exchange) -> awaitable<void> {
+        ++arrivals;
+        co_await exchange.startStream(200, validAnswerHeaders(exchange));
+        co_await exchange.writeChunk("id: 1\ndata: x\n\n");
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, 100ms);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        entry.state.stop = stopSince(7400ms);
+        CHECK(entry.state.requests.interrupt(false) == 0);
+        CHECK(entry.state.requests.interrupt(true) == 1);
+        timer.expires_after(1s);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    };
+    entry.addEndpoint("e1", streamAndInterrupt);
+    entry.addEndpoint("e2", streamAndInterrupt);
+    // The connection ends before the stream does.
+    CHECK(entry.send(callerHeaders("id1")).status == 0);
+    CHECK(arrivals == 1);
+}
--- a/Tests/Soak/TestEntryStop.cpp
+++ b/Tests/Soak/TestEntryStop.cpp
@@ -177,6 +177,23 @@
 };
 } // namespace
 
+// Guards against LOST: a request that was in progress at the end of the stop was cut before any answer.
+TEST_CASE("A request in progress at the end of the stop gets a complete answer, and a broken stream does not look complete", "[stop]")
+{
+    StoppingEntry entry;
+    entry.awaitReady();
+    int order = -1;
+    int stream = -1;
+    entry.send("/order/", "20000", order);
+    entry.send("/stream/", "20000", stream);
+    entry.runUntil([&] { return entry.arrivals == 2; });
+    entry.process->sendSignal(SIGTERM);
+    entry.runUntil([&] { return order >= 0 && stream >= 0; });
+    CHECK(order == 504);
+    CHECK(stream == 0);
+    CHECK(entry.process->wait() == 0);
+}
+
 // Guards against LOST: requests that came late in the stop were passed on and cut at its end.
 TEST_CASE("A request that comes late in the stop is refused as not run if it may not end before the process does", "[stop]")
 {
