Keep signals for the service while the process starts, and settings during a stop

A SIGHUP or SIGTERM that arrived after the process started and before the service had its signal handlers killed the process by the default action, its open listeners included. The signals are now blocked until the handlers are there, and are delivered then. During a stop, SIGHUP no longer reloads the settings; further SIGTERM and SIGINT already changed nothing, which a test now shows.

--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -204,6 +204,10 @@
 // failure domain, exposure share and session lifetime used for routing keep their values from startup.
 void EntryService::reloadSettings(const char *cause)
 {
+    // A stop keeps the settings with which it began.
+    if (this->state.stop) {
+        return;
+    }
     try {
         const std::string text = readFile(this->settingsFile);
         if (text == this->settingsText) {
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -18,6 +18,17 @@
 constexpr double logLinesPerSecond = 150;
 constexpr double logBurst = 500;
 
+/// Blocks or unblocks the signals of the platform.
+void maskSignals(int how)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    sigprocmask(how, &signals, nullptr);
+}
+
 int runEntry(int argc, char **argv)
 {
     using namespace Godwitfork;
@@ -32,6 +43,8 @@
         std::cerr << "godwitfork-entry: no settings file given: use --settings or set " << Platform::settingsVariable << "\n";
         return exitFindings;
     }
+    // Until the service has its handlers, a signal would kill the process; it is delivered once they are there.
+    maskSignals(SIG_BLOCK);
     Findings findings;
     const EntrySettings settings = parseEntrySettings(settingsFile.getValue(), readFile(settingsFile.getValue()), findings);
     if (!findings.isEmpty()) {
@@ -50,6 +63,7 @@
     startLog("godwitfork-entry", settings.instance, settings.logLevel);
     setLogRateLimit(logLinesPerSecond, logBurst);
     EntryService service(settings, settingsFile.getValue());
+    maskSignals(SIG_UNBLOCK);
     service.run();
     return 0;
 }
--- a/Tests/Soak/TestEntryStop.cpp
+++ b/Tests/Soak/TestEntryStop.cpp
@@ -214,3 +214,62 @@
     entry.runUntil([&] { return held >= 0; });
     CHECK(entry.process->wait() == 0);
 }
+
+// Guards against a process that a second signal ends at once.
+TEST_CASE("Further signals during the stop change nothing", "[stop]")
+{
+    const int signal = GENERATE(SIGTERM, SIGINT, SIGHUP);
+    StoppingEntry entry;
+    entry.awaitReady();
+    int order = -1;
+    entry.send("/order/", "2000", order);
+    entry.runUntil([&] { return entry.arrivals == 1; });
+    entry.process->sendSignal(SIGTERM);
+    for (int i = 0; i < 5; ++i) {
+        entry.runFor(100ms);
+        entry.process->sendSignal(signal);
+    }
+    entry.runUntil([&] { return order >= 0; });
+    CHECK(order == 504);
+    CHECK(entry.process->wait() == 0);
+}
+
+// Guards against a process that a signal of the platform kills while it starts: its settings are read, its signal handlers are not there yet.
+TEST_CASE("A signal that arrives while the process starts does not kill it", "[stop]")
+{
+    const int signal = GENERATE(SIGHUP, SIGTERM);
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::string settings = settingsText({"127.0.0.1", 1}, freePort());
+    const std::string pipe = temporaryName(".fifo");
+    const std::string file = temporaryName(".yaml");
+    std::ofstream(file) << settings;
+    REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
+    const char *folder = std::getenv("GODWITFORK_BIN");
+    Process::ipstream output;
+    Process::child child(std::string(folder ? folder : "Build/default/bin") + "/godwitfork-entry", "--settings", pipe, Process::std_out > output);
+    int descriptor = -1;
+    while (descriptor < 0 && child.running()) {
+        std::this_thread::sleep_for(1ms);
+        descriptor = ::open(pipe.c_str(), O_WRONLY | O_NONBLOCK);
+    }
+    // The process waits for its settings; it finds a plain file when it reads them again.
+    ::kill(child.id(), signal);
+    std::this_thread::sleep_for(100ms);
+    boost::filesystem::rename(file, pipe);
+    const bool isWritten = ::write(descriptor, settings.data(), settings.size()) == static_cast<ssize_t>(settings.size());
+    ::close(descriptor);
+    CHECK(isWritten);
+    std::string line;
+    std::getline(output, line);
+    CHECK(line.find("\"event\":\"listening\"") != std::string::npos);
+    if (signal == SIGHUP) {
+        std::this_thread::sleep_for(100ms);
+        CHECK(child.running());
+        ::kill(child.id(), SIGTERM);
+    }
+    std::error_code ignored;
+    child.wait(ignored);
+    CHECK(WIFEXITED(child.native_exit_code()));
+    CHECK(child.exit_code() == 0);
+    std::remove(pipe.c_str());
+}
