Wait for a request with one system call fewer

The wait for readiness re-armed the socket for each request. A read that the idle timer cancels waits as well, and takes nothing when it is cancelled.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -30,6 +30,8 @@
 
 constexpr Duration closeTimeout = std::chrono::seconds(1);
 constexpr std::size_t maxDiscardedBytes = 4 * 1024 * 1024;
+/// Size of the first read of a request; larger headers take further reads.
+constexpr std::size_t firstReadBytes = 4096;
 /// Time for which a draining server keeps a connection without a request: a new client sends its request within a round trip, and one
 /// that was not told of the close by the last response may send another at once.
 constexpr Duration drainIdleTime = std::chrono::milliseconds(500);
@@ -274,32 +276,33 @@
     return this->idleSince + (this->state->isDraining || this->isBeyondLimit ? std::min(limit, drainIdleTime) : limit);
 }
 
-// The stream's own timeout would close the socket together with a request that has arrived and is not read yet, which resets the connection. Here
-// the socket is read once more after the time is over.
+// The stream's own timeout would close the socket whatever has arrived on it and is not read yet, which resets the connection. Here the socket is
+// read once more after the time is over.
 Asio::awaitable<bool> Connection::waitForRequest()
 {
     this->idleSince = monotonicNow();
     while (this->buffer.size() == 0) {
-        const bool isOver = this->idleEnd() <= monotonicNow();
         boost::system::error_code error;
-        const std::size_t received = this->stream.socket().read_some(this->buffer.prepare(4096), error);
-        this->buffer.commit(received);
-        if (received > 0) {
-            break;
+        if (this->idleEnd() <= monotonicNow()) {
+            this->buffer.commit(this->stream.socket().read_some(this->buffer.prepare(firstReadBytes), error));
+            co_return this->buffer.size() > 0;
         }
-        if (isOver || error != Asio::error::would_block) {
-            co_return false;
-        }
-        this->isIdle = true;
         this->idleTimer.expires_at(this->idleEnd());
         this->idleTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &timerError) {
             if (!timerError) {
                 self->checkIdle();
             }
         });
-        co_await this->stream.socket().async_wait(Tcp::socket::wait_read, Asio::redirect_error(Asio::use_awaitable, error));
+        this->isIdle = true;
+        const std::size_t received =
+            co_await this->stream.socket().async_read_some(this->buffer.prepare(firstReadBytes), Asio::redirect_error(Asio::use_awaitable, error));
         this->isIdle = false;
         this->idleTimer.cancel();
+        this->buffer.commit(received);
+        // `checkIdle` ends the read, which has then taken nothing.
+        if (error && error != Asio::error::operation_aborted) {
+            co_return false;
+        }
     }
     co_return true;
 }
