--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -40,7 +40,7 @@
     void recordPromptRefusal(const std::string &service);
     /// Counts an answer in which an endpoint of the service said something new of itself; `kind` is "limit", "leaving" or "closed".
     void recordAnnouncement(const std::string &service, const char *kind);
-    /// Counts a request that ended while the process stopped; `outcome` is "answered", "refused_late", "broken_off" or "caller_gone".
+    /// Counts a request that ended while the process stopped; `outcome` is "answered", "refused_late", "interrupted", "broken_off" or "caller_gone".
     void recordStopRequest(const char *outcome);
     /// Counts an attempt whose endpoint was silent beyond its limit; `action` is "cancelled" or "tolerated", `obstacle` what kept the request
     /// from going on elsewhere.
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -167,9 +167,12 @@
             break;
         }
         this->progress = recordAttempt(this->progress, outcome);
-        this->endAttempt(endpointResult(outcome));
-        this->recordVersionAnswer(outcome);
-        this->recordPromptCrash(outcome);
+        const bool isInterrupted = this->caller->interrupted && outcome.end != AttemptEnd::Answered;
+        this->endAttempt(isInterrupted ? EndpointResult::Ended : endpointResult(outcome));
+        if (!isInterrupted) {
+            this->recordVersionAnswer(outcome);
+            this->recordPromptCrash(outcome);
+        }
         if (this->isEscalating) {
             this->logEscalation();
             this->isEscalating = false;
@@ -348,6 +351,10 @@
         this->reason = "endpoint_stalled";
         outcome.end = AttemptEnd::TimedOut;
     }
+    if (this->caller->interrupted && outcome.end != AttemptEnd::Answered) {
+        this->reason = "instance_stopping";
+        outcome.isConnectionLost = false;
+    }
     co_return outcome;
 }
 
@@ -492,6 +499,7 @@
         co_return;
     }
     this->answerStarted = true;
+    this->caller->hasAnswer = true;
     this->status = stream.status();
     co_await this->exchange.startStream(stream.status(), Platform::callerAnswerHeaders(stream.headers()));
 }
@@ -535,6 +543,7 @@
         response.body = std::move(this->bufferedAnswer->body);
         this->status = response.status;
         this->answerStarted = true;
+        this->caller->hasAnswer = true;
         // The failure of an earlier attempt is logged with that attempt.
         this->reason = response.status < 300 ? "" : "endpoint_error";
         co_await this->exchange.respond(std::move(response));
@@ -554,6 +563,7 @@
     response.body = errorBody(cause);
     this->status = answerStatus;
     this->reason = std::move(cause);
+    this->caller->hasAnswer = true;
     co_await this->exchange.respond(std::move(response));
 }
 
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -132,6 +132,7 @@
     void logSilence(const StallEvidence &evidence, const char *action, RetryObstacle obstacle);
     void logEscalation() const;
     void logEnd() const;
+    const char *stopOutcome() const;
     /// Counts the request if the process is stopping, and adds the times of the stop to its log line.
     void recordStop(nlohmann::ordered_json &fields, MonotonicTime now) const;
 
