Don't count the time of writes to a slow caller as the endpoint's silence

What callers saw: the stream of a caller that reads slowly was cut, or started again at another endpoint, although its endpoint was sound (LOST, BUDGET).

Cause: while relay() waits for a slow caller to take what arrived, it reads nothing from the endpoint, but the watch still measured from the last event.

The silence now counts from the time at which the router waits for the endpoint again, and is zero during a write.

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -279,7 +279,7 @@
     next.ticket = this->state.chooser.begin(next.query, next.choice);
     next.started = monotonicNow();
     this->state.announcements.recordRequest(next.choice.endpoint.id, next.choice.endpoint.incarnation, next.started);
-    next.lastEventAt = next.started;
+    next.waitingSince = next.started;
     this->triedEndpoints.insert(next.choice.endpoint.id);
     this->currentAttempt = std::move(next);
     return true;
@@ -425,8 +425,8 @@
             co_return RelayEnd::Broken;
         }
         if (!complete.value().empty()) {
-            this->currentAttempt->lastEventAt = monotonicNow();
-            this->state.chooser.loads().recordOutput(this->currentAttempt->choice.endpoint.id, this->currentAttempt->lastEventAt);
+            this->currentAttempt->waitingSince = monotonicNow();
+            this->state.chooser.loads().recordOutput(this->currentAttempt->choice.endpoint.id, this->currentAttempt->waitingSince);
         }
         std::string output;
         events += static_cast<std::int64_t>(complete.value().size());
@@ -461,7 +461,10 @@
             }
         }
         co_await this->startAnswer(stream);
+        this->currentAttempt->isWritingToCaller = true;
         const bool isWritten = co_await this->exchange.writeChunk(std::move(output));
+        this->currentAttempt->isWritingToCaller = false;
+        this->currentAttempt->waitingSince = monotonicNow();
         if (!isWritten) {
             this->caller->gone = true;
             co_return RelayEnd::CallerGone;
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -42,8 +42,10 @@
     MonotonicTime started;
     /// Time from the start of the attempt to its first output; empty before that.
     std::optional<Duration> firstOutput;
-    /// Time of the last event, or of the attempt's start if none arrived.
-    MonotonicTime lastEventAt;
+    /// Time since which the router has waited for the endpoint's next event.
+    MonotonicTime waitingSince;
+    /// Whether the router is writing to the caller and reads nothing from the endpoint.
+    bool isWritingToCaller = false;
     std::int64_t events = 0;
     /// Whether the answer was recorded as an observation of the endpoint's version.
     bool isAnswerRecorded = false;
--- a/Libraries/LibEntry/RequestRunStall.cpp
+++ b/Libraries/LibEntry/RequestRunStall.cpp
@@ -67,7 +67,7 @@
     const MonotonicTime now = monotonicNow();
     StallEvidence evidence;
     evidence.hasFirstEvent = this->currentAttempt->firstOutput.has_value();
-    evidence.silence = now - this->currentAttempt->lastEventAt;
+    evidence.silence = this->currentAttempt->isWritingToCaller ? Duration::zero() : now - this->currentAttempt->waitingSince;
     evidence.sinceEndpointOutput = this->state.chooser.loads().find(this->currentAttempt->choice.endpoint.id).sinceFleetOutput(now);
     return evidence;
 }
--- a/Tests/LibEntry/TestStalls.cpp
+++ b/Tests/LibEntry/TestStalls.cpp
@@ -159,6 +159,34 @@
     CHECK(monotonicNow() - started < silence);
 }
 
+TEST_CASE("A caller that reads slowly is not taken for a silent endpoint", "[stall]")
+{
+    // Guards against LOST and BUDGET: the stream of a slow reader was cancelled, and started again elsewhere or cut.
+    const RepeatRule rule = GENERATE(RepeatRule::Stream, RepeatRule::ResumableStream);
+    EntryFixture entry;
+    entry.setRoute(streamRoute(rule, 3));
+    int requests = 0;
+    const int events = 200;
+    const std::string data(100'000, 'x');
+    const auto script = [&](HttpExchange &exchange) -> awaitable<void> {
+        ++requests;
+        co_await exchange.startStream(200, validAnswerHeaders(exchange));
+        for (int id = 1; id <= events; ++id) {
+            co_await exchange.writeChunk("id: " + std::to_string(id) + "\ndata: " + data + "\n\n");
+        }
+        co_await exchange.finishStream();
+    };
+    entry.addEndpoint("e1", script);
+    entry.addEndpoint("e2", script);
+    HttpHeaders headers = callerHeaders("id1");
+    headers.push_back({"X-Deadline-Ms", "9000"});
+    std::erase(headers, HttpHeader {"X-Deadline-Ms", "3000"});
+    const std::string answer = entry.sendRaw(headers, silence);
+    CHECK(answer.ends_with("\r\n0\r\n\r\n"));
+    CHECK(answer.find("id: 200\n") != std::string::npos);
+    CHECK(requests == 1);
+}
+
 TEST_CASE("A caller that leaves ends a tolerated silence at once", "[stall]")
 {
     // Guards against endpoints that go on for callers that have left.
