Take the retry with the decision to leave a silent endpoint

What callers saw: of two streams with silent endpoints, one was cut although its endpoint would have finished it (LOST).

Cause: between the cancel of an attempt and the next one another request could take the last retry of the budget. On a busy machine the watches of several streams run in one turn of the event loop, and each saw the same last retry.

The retry is taken when the attempt is cancelled, and kept for the next attempt of that request.

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Godwitfork
 {
@@ -149,7 +150,7 @@
             co_await this->finish(this->progress.possibleRuns == 0 ? NextStep::RefuseNotRun : NextStep::Fail);
             co_return;
         }
-        if (this->progress.arrivals > 0) {
+        if (this->progress.arrivals > 0 && !std::exchange(this->hasTakenRetry, false)) {
             takeRetry(this->state.retryBudget(this->service), monotonicNow());
         }
         const AttemptOutcome outcome = co_await this->attempt();
@@ -513,7 +514,7 @@
         means.hasEndpoint = means.hasEndpoint || !this->triedEndpoints.contains(endpoint->id);
     }
     means.isPromptSuspect = this->state.promptQuarantine.isSuspect(this->gatewayRequest.promptParts, monotonicNow());
-    means.hasBudget = hasRetry(this->state.retryBudget(this->service), monotonicNow());
+    means.hasBudget = this->hasTakenRetry || hasRetry(this->state.retryBudget(this->service), monotonicNow());
     return means;
 }
 
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -163,6 +163,8 @@
     bool isEscalating = false;
     /// Whether the current attempt was cancelled because it stalled.
     bool stalled = false;
+    /// Whether the retry for the next attempt was taken from the budget before the current one ended.
+    bool hasTakenRetry = false;
     int status = 0;
     std::string reason;
 };
--- a/Libraries/LibEntry/RequestRunStall.cpp
+++ b/Libraries/LibEntry/RequestRunStall.cpp
@@ -57,6 +57,8 @@
         return false;
     }
     this->logSilence(evidence, "cancelled", obstacle);
+    // Another request could take the last retry before this one goes on.
+    this->hasTakenRetry = takeRetry(this->state.retryBudget(this->service), monotonicNow());
     this->stalled = true;
     this->caller->canceller->cancel();
     return true;
--- a/Tests/LibEntry/TestStalls.cpp
+++ b/Tests/LibEntry/TestStalls.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace Godwitfork;
 using namespace std::chrono_literals;
 using boost::asio::awaitable;
@@ -159,6 +161,28 @@
     CHECK(monotonicNow() - started < silence);
 }
 
+TEST_CASE("Two streams with silent endpoints do not share one retry", "[stall]")
+{
+    // Guards against LOST: both streams were cancelled for the last retry of the budget, and one of them ended there.
+    EntryFixture entry;
+    entry.state.settings.retryRatio = 0;
+    // Half of the allowance is handed out.
+    entry.state.setRetryAllowance(2);
+    entry.setRoute(streamRoute(RepeatRule::ResumableStream, 3));
+    int requests = 0;
+    for (const std::string id : {"e1", "e2", "e3", "e4"}) {
+        entry.addEndpoint(id, silentInside(&requests));
+    }
+    // On a busy machine the watches of both streams run in the same turn of the event loop.
+    for (int turn = 0; turn < 40; ++turn) {
+        entry.runLater(turn * 30ms, [] { std::this_thread::sleep_for(25ms); });
+    }
+    const std::vector<HttpResponse> answers = entry.sendTogether({callerHeaders("id1"), callerHeaders("id2")});
+    CHECK(answers[0].body == wholeStream());
+    CHECK(answers[1].body == wholeStream());
+    CHECK(requests == 3);
+}
+
 TEST_CASE("A caller that reads slowly is not taken for a silent endpoint", "[stall]")
 {
     // Guards against LOST and BUDGET: the stream of a slow reader was cancelled, and started again elsewhere or cut.
