--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Godwitfork
 {
@@ -158,7 +159,7 @@
             co_await this->finish(this->progress.possibleRuns == 0 ? NextStep::RefuseNotRun : NextStep::Fail);
             co_return;
         }
-        if (this->progress.arrivals > 0) {
+        if (this->progress.arrivals > 0 && !std::exchange(this->hasTakenRetry, false)) {
             takeRetry(this->state.retryBudget(this->service), monotonicNow());
         }
         const AttemptOutcome outcome = co_await this->attempt();
@@ -291,7 +292,7 @@
     next.ticket = this->state.chooser.begin(next.query, next.choice);
     next.started = monotonicNow();
     this->state.announcements.recordRequest(next.choice.endpoint.id, next.choice.endpoint.incarnation, next.started);
-    next.lastEventAt = next.started;
+    next.waitingSince = next.started;
     this->triedEndpoints.insert(next.choice.endpoint.id);
     this->currentAttempt = std::move(next);
     return true;
@@ -441,8 +442,8 @@
             co_return RelayEnd::Broken;
         }
         if (!complete.value().empty()) {
-            this->currentAttempt->lastEventAt = monotonicNow();
-            this->state.chooser.loads().recordOutput(this->currentAttempt->choice.endpoint.id, this->currentAttempt->lastEventAt);
+            this->currentAttempt->waitingSince = monotonicNow();
+            this->state.chooser.loads().recordOutput(this->currentAttempt->choice.endpoint.id, this->currentAttempt->waitingSince);
         }
         std::string output;
         events += static_cast<std::int64_t>(complete.value().size());
@@ -477,7 +478,10 @@
             }
         }
         co_await this->startAnswer(stream);
+        this->currentAttempt->isWritingToCaller = true;
         const bool isWritten = co_await this->exchange.writeChunk(std::move(output));
+        this->currentAttempt->isWritingToCaller = false;
+        this->currentAttempt->waitingSince = monotonicNow();
         if (!isWritten) {
             this->caller->gone = true;
             co_return RelayEnd::CallerGone;
@@ -527,7 +531,7 @@
         means.hasEndpoint = means.hasEndpoint || !this->triedEndpoints.contains(endpoint->id);
     }
     means.isPromptSuspect = this->state.promptQuarantine.isSuspect(this->gatewayRequest.promptParts, monotonicNow());
-    means.hasBudget = hasRetry(this->state.retryBudget(this->service), monotonicNow());
+    means.hasBudget = this->hasTakenRetry || hasRetry(this->state.retryBudget(this->service), monotonicNow());
     return means;
 }
 
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -38,8 +38,10 @@
     MonotonicTime started;
     /// Time from the start of the attempt to its first output; empty before that.
     std::optional<Duration> firstOutput;
-    /// Time of the last event, or of the attempt's start if none arrived.
-    MonotonicTime lastEventAt;
+    /// Time since which the router has waited for the endpoint's next event.
+    MonotonicTime waitingSince;
+    /// Whether the router is writing to the caller and reads nothing from the endpoint.
+    bool isWritingToCaller = false;
     std::int64_t events = 0;
     /// Whether the answer was recorded as an observation of the endpoint's version.
     bool isAnswerRecorded = false;
@@ -165,6 +167,8 @@
     bool isEscalating = false;
     /// Whether the current attempt was cancelled because it stalled.
     bool stalled = false;
+    /// Whether the retry for the next attempt was taken from the budget before the current one ended.
+    bool hasTakenRetry = false;
     int status = 0;
     std::string reason;
 };
--- a/Libraries/LibEntry/RequestRunStall.cpp
+++ b/Libraries/LibEntry/RequestRunStall.cpp
@@ -57,6 +57,8 @@
         return false;
     }
     this->logSilence(evidence, "cancelled", obstacle);
+    // Another request could take the last retry before this one goes on.
+    this->hasTakenRetry = takeRetry(this->state.retryBudget(this->service), monotonicNow());
     this->stalled = true;
     this->caller->canceller->cancel();
     return true;
@@ -67,7 +69,7 @@
     const MonotonicTime now = monotonicNow();
     StallEvidence evidence;
     evidence.hasFirstEvent = this->currentAttempt->firstOutput.has_value();
-    evidence.silence = now - this->currentAttempt->lastEventAt;
+    evidence.silence = this->currentAttempt->isWritingToCaller ? Duration::zero() : now - this->currentAttempt->waitingSince;
     evidence.sinceEndpointOutput = this->state.chooser.loads().find(this->currentAttempt->choice.endpoint.id).sinceFleetOutput(now);
     return evidence;
 }
--- a/Tests/LibEntry/TestStalls.cpp
+++ b/Tests/LibEntry/TestStalls.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace Godwitfork;
 using namespace std::chrono_literals;
 using boost::asio::awaitable;
@@ -159,6 +161,56 @@
     CHECK(monotonicNow() - started < silence);
 }
 
+TEST_CASE("Two streams with silent endpoints do not share one retry", "[stall]")
+{
+    // Guards against LOST: both streams were cancelled for the last retry of the budget, and one of them ended there.
+    EntryFixture entry;
+    entry.state.settings.retryRatio = 0;
+    // Half of the allowance is handed out.
+    entry.state.setRetryAllowance(2);
+    entry.setRoute(streamRoute(RepeatRule::ResumableStream, 3));
+    int requests = 0;
+    for (const std::string id : {"e1", "e2", "e3", "e4"}) {
+        entry.addEndpoint(id, silentInside(&requests));
+    }
+    // On a busy machine the watches of both streams run in the same turn of the event loop.
+    for (int turn = 0; turn < 40; ++turn) {
+        entry.runLater(turn * 30ms, [] { std::this_thread::sleep_for(25ms); });
+    }
+    const std::vector<HttpResponse> answers = entry.sendTogether({callerHeaders("id1"), callerHeaders("id2")});
+    CHECK(answers[0].body == wholeStream());
+    CHECK(answers[1].body == wholeStream());
+    CHECK(requests == 3);
+}
+
+TEST_CASE("A caller that reads slowly is not taken for a silent endpoint", "[stall]")
+{
+    // Guards against LOST and BUDGET: the stream of a slow reader was cancelled, and started again elsewhere or cut.
+    const RepeatRule rule = GENERATE(RepeatRule::Stream, RepeatRule::ResumableStream);
+    EntryFixture entry;
+    entry.setRoute(streamRoute(rule, 3));
+    int requests = 0;
+    const int events = 200;
+    const std::string data(100'000, 'x');
+    const auto script = [&](HttpExchange &exchange) -> awaitable<void> {
+        ++requests;
+        co_await exchange.startStream(200, validAnswerHeaders(exchange));
+        for (int id = 1; id <= events; ++id) {
+            co_await exchange.writeChunk("id: " + std::to_string(id) + "\ndata: " + data + "\n\n");
+        }
+        co_await exchange.finishStream();
+    };
+    entry.addEndpoint("e1", script);
+    entry.addEndpoint("e2", script);
+    HttpHeaders headers = callerHeaders("id1");
+    headers.push_back({"X-Deadline-Ms", "9000"});
+    std::erase(headers, HttpHeader {"X-Deadline-Ms", "3000"});
+    const std::string answer = entry.sendRaw(headers, silence);
+    CHECK(answer.ends_with("\r\n0\r\n\r\n"));
+    CHECK(answer.find("id: 200\n") != std::string::npos);
+    CHECK(requests == 1);
+}
+
 TEST_CASE("A caller that leaves ends a tolerated silence at once", "[stall]")
 {
     // Guards against endpoints that go on for callers that have left.
