Soak: play stops of real processes and check that no request is lost

Callers keep their connections until they close and choose instances like the platform's balancer, so that requests arrive at every moment of a stop.

A process that is started beside another one no longer inherits its pipe: waiting for the end of the first hung.

--- a/Tests/Integration/ChildProcess.cpp
+++ b/Tests/Integration/ChildProcess.cpp
@@ -52,9 +52,15 @@
     }
 };
 
-ChildProcess::ChildProcess(const std::string &program, std::vector<std::string> arguments) : state(std::make_unique<State>())
+ChildProcess::ChildProcess(const std::string &program, std::vector<std::string> arguments)
 {
-    this->state->child = Process::child(binFolder() + "/" + program, Process::args(arguments), Process::std_out > this->state->output);
+    {
+        // A process that another thread starts meanwhile would inherit the pipe and hold it open.
+        static std::mutex startMutex;
+        const std::lock_guard lock(startMutex);
+        this->state = std::make_unique<State>();
+        this->state->child = Process::child(binFolder() + "/" + program, Process::args(arguments), Process::std_out > this->state->output);
+    }
     this->state->reader = std::thread([state = this->state.get()] { state->read(); });
     std::unique_lock lock(this->state->mutex);
     this->state->changed.wait_for(lock, startLimit, [this] { return this->state->ended || !this->state->listening.empty(); });
@@ -96,6 +102,17 @@
     ::kill(this->state->child.id(), signal);
 }
 
+bool ChildProcess::isRunning()
+{
+    std::error_code ignored;
+    return this->state->child.running(ignored);
+}
+
+int ChildProcess::processId() const
+{
+    return this->state->child.id();
+}
+
 int ChildProcess::wait()
 {
     std::error_code ignored;
--- a/Tests/Integration/ChildProcess.h
+++ b/Tests/Integration/ChildProcess.h
@@ -26,6 +26,8 @@
     nlohmann::json listeningEvent() const;
     std::vector<std::string> logLines() const;
     void sendSignal(int signal);
+    bool isRunning();
+    int processId() const;
     /// Waits for the process to end and returns its exit code, or -1 after a signal.
     int wait();
 
--- /dev/null
+++ b/Tests/Soak/RequestBook.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "LossRules.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Godwitfork
+{
+
+/// Joins what clients and endpoints saw of each request.
+class RequestBook
+{
+public:
+    /// An endpoint has read the request and works on it.
+    void arrived(const std::string &id, const std::string &endpoint, const std::string &manner);
+    /// The endpoint's run ended; `isBrokenOff` if the endpoint did it by itself.
+    void left(const std::string &id, const std::string &endpoint, const std::string &how, bool isBrokenOff);
+    /// The request ended at its client.
+    void ended(RequestRecord record);
+
+    /// All requests that ended at their clients, with what the endpoints saw.
+    std::vector<RequestRecord> records() const;
+
+private:
+    struct Runs {
+        MonotonicTime first;
+        /// When the last run ended; none while an endpoint works on it.
+        std::optional<MonotonicTime> left;
+        bool isBrokenOff = false;
+        std::vector<std::pair<MonotonicTime, std::string>> notes;
+    };
+
+    std::map<std::string, Runs> runs;
+    std::vector<RequestRecord> ends;
+};
+
+} // namespace Godwitfork
--- /dev/null
+++ b/Tests/Soak/TestPlannedWork.cpp
@@ -0,0 +1,151 @@
+#include "PlannedWorkRun.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <sstream>
+
+using namespace Godwitfork;
+using namespace std::chrono_literals;
+
+namespace Asio = boost::asio;
+
+namespace
+{
+std::vector<std::uint64_t> seeds(std::vector<std::uint64_t> standard)
+{
+    const char *text = std::getenv("GODWITFORK_SOAK_SEEDS");
+    if (!text) {
+        return standard;
+    }
+    std::uint64_t first = 0;
+    std::uint64_t last = 0;
+    char dash = 0;
+    std::istringstream(text) >> first >> dash >> last;
+    standard.clear();
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        standard.push_back(seed);
+    }
+    return standard;
+}
+
+void check(const PlannedWorkRun &run, std::uint64_t seed, const std::vector<Disruption> &disruptions)
+{
+    const std::vector<RequestRecord> records = run.requests().records();
+    const auto served = std::count_if(records.begin(), records.end(), [](const RequestRecord &record) { return record.end == AnswerEnd::Complete; });
+    const std::vector<Loss> losses = run.losses(disruptions);
+    const std::vector<RequestRecord> unanswered = findUnanswered(records, disruptions, LossBounds());
+    std::cout << "seed " << seed << ": " << served << " of " << records.size() << " requests answered, " << losses.size() << " lost, " << unanswered.size()
+              << " passed on from kept connections and unanswered" << std::endl;
+    if (const char *folder = std::getenv("GODWITFORK_SOAK_LOGS")) {
+        run.keepLogs(std::string(folder) + "/soak-" + std::to_string(seed));
+    }
+    INFO("seed " << seed);
+    CHECK(losses.empty());
+    CHECK(unanswered.size() <= 3);
+    CHECK(served > 0);
+}
+} // namespace
+
+// Guards against requests whose connection a stopping instance closes with their bytes unread, where instances share a core.
+TEST_CASE("Instances that share a core lose no request around their stop", "[work]")
+{
+    for (const std::uint64_t seed : seeds({1, 2})) {
+        PlannedWorkSettings settings;
+        settings.cores = 1;
+        settings.busyThreads = 24;
+        settings.manners.slow = 0.2;
+        PlannedWorkRun run(seed, settings);
+        run.play([&]() -> Asio::awaitable<void> {
+            co_await run.pause(5s);
+            // Two of the three instances of a failure domain, so that the balancer goes on to send to them.
+            const int domain = static_cast<int>(run.randomSource()() % 3);
+            run.replace(domain);
+            run.replace(domain + 3);
+            for (int i = 0; i < 8; ++i) {
+                co_await run.pause(300ms);
+                run.burst(domain, 60, 1s);
+                run.burst(domain + 3, 60, 1s);
+            }
+            co_await run.pause(7s);
+        });
+        check(run, seed, run.fleet().disruptions());
+    }
+}
+
+// Guards against the same without load: the process gets no processor time just when its listener closes.
+TEST_CASE("An instance that reads late loses no request when its listener closes", "[work]")
+{
+    for (const std::uint64_t seed : seeds({1, 2})) {
+        PlannedWorkSettings settings;
+        settings.manners.slow = 0.2;
+        PlannedWorkRun run(seed, settings);
+        run.play([&]() -> Asio::awaitable<void> {
+            co_await run.pause(4s);
+            const int domain = static_cast<int>(run.randomSource()() % 3);
+            for (const int instance : {domain, domain + 3}) {
+                Freeze freeze;
+                freeze.at = std::chrono::milliseconds(1400 + run.randomSource()() % 1000);
+                freeze.length = std::chrono::milliseconds(300 + run.randomSource()() % 1200);
+                run.replace(instance, freeze);
+            }
+            co_await run.pause(11s);
+        });
+        check(run, seed, {});
+    }
+}
+
+// Guards against requests that a stopping instance takes, passes on and cuts at the end of its stop limit.
+TEST_CASE("Requests that arrive late in a stop are answered before its end", "[work]")
+{
+    for (const std::uint64_t seed : seeds({1, 2})) {
+        PlannedWorkSettings settings;
+        settings.slowSenders = 0.6;
+        settings.manners = {.pausing = 0.5, .pauseMin = 1200ms, .pauseMax = 3500ms, .slow = 0.3};
+        PlannedWorkRun run(seed, settings);
+        run.play([&]() -> Asio::awaitable<void> {
+            co_await run.pause(4s);
+            const int domain = static_cast<int>(run.randomSource()() % 3);
+            run.replace(domain);
+            run.replace(domain + 3);
+            co_await run.pause(1500ms);
+            for (const int instance : {domain, domain + 3}) {
+                run.burst(instance, 40, 1s);
+            }
+            co_await run.pause(10s);
+        });
+        check(run, seed, {});
+    }
+}
+
+// Guards against streams that are ended for an endpoint's silence right after SIGHUP or during a stop, though they can't go on elsewhere.
+TEST_CASE("The silence of endpoints ends no stream beside a reload or a stop", "[work]")
+{
+    for (const std::uint64_t seed : seeds({1, 2})) {
+        PlannedWorkSettings settings;
+        settings.engines = 2;
+        settings.longestSendPause = 500ms;
+        PlannedWorkRun run(seed, settings);
+        run.play([&]() -> Asio::awaitable<void> {
+            co_await run.pause(5s);
+            const bool areBothSilent = seed % 2 == 0;
+            const Duration silence = std::chrono::milliseconds(4000 + run.randomSource()() % 1500);
+            run.endpoints()[0].fallSilent(silence);
+            if (areBothSilent) {
+                run.endpoints()[1].fallSilent(silence);
+            }
+            co_await run.pause(500ms);
+            run.replace(static_cast<int>(run.randomSource()() % 9));
+            co_await run.pause(3s);
+            for (int instance = 0; instance < settings.instances; ++instance) {
+                if (run.fleet().isUp(instance)) {
+                    run.fleet().reload(instance);
+                }
+            }
+            co_await run.pause(7s);
+        });
+        check(run, seed, {});
+    }
+}
