Keep no time for a retry of a plain request that is not allowed

Part of the time was kept for another attempt as soon as the route allowed one, also where none could follow: retry budget spent, no other endpoint, prompt suspect.

The time is no longer a limit of the call. The watch decides when it has passed, as for streams, and asks again until the caller's time ends. An attempt that was cancelled before anything was sent counts as not sent.

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -323,10 +323,14 @@
     headers.model = this->gatewayRequest.model.empty() ? this->currentAttempt->query.model : std::string();
     headers.resumeAfter = this->lastEventId;
     const Duration limit = attemptTimeLimit(this->progress, remaining);
-    HttpCallOptions options = this->callOptions(limit);
+    if (limit < remaining) {
+        this->currentAttempt->plainAnswer = limit;
+    }
+    HttpCallOptions options = this->callOptions(remaining);
     HttpRequest request = Platform::makeEndpointRequest(this->exchange.request(), headers);
     this->stalled = false;
-    const std::shared_ptr<bool> ended = isStream(this->route->repeatRule) ? this->watchForStall() : std::make_shared<bool>();
+    const std::shared_ptr<bool> ended =
+        isStream(this->route->repeatRule) || this->currentAttempt->plainAnswer ? this->watchForStall() : std::make_shared<bool>();
     auto stream = co_await this->context.client.open(this->currentAttempt->choice.endpoint.address, std::move(request), std::move(options));
     AttemptOutcome outcome;
     if (stream) {
@@ -338,7 +342,7 @@
     *ended = true;
     if (this->stalled) {
         this->reason = "endpoint_stalled";
-        outcome.end = AttemptEnd::TimedOut;
+        outcome.end = outcome.end == AttemptEnd::NotSent ? AttemptEnd::NotSent : AttemptEnd::TimedOut;
     }
     co_return outcome;
 }
@@ -364,6 +368,7 @@
         }
         co_return outcome;
     }
+    this->currentAttempt->plainAnswer.reset();
     BufferedAnswer answer;
     answer.status = stream->status();
     answer.headers = Platform::callerAnswerHeaders(stream->headers());
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -53,6 +53,8 @@
     bool isTimeRecorded = false;
     /// Whether the endpoint closed or reset the connection before the answer was complete.
     bool isConnectionLost = false;
+    /// Time for the head of a plain answer if another attempt is to follow; empty for a stream and after the head.
+    std::optional<Duration> plainAnswer;
     /// Whether a silence that is tolerated was logged.
     bool isSilenceLogged = false;
 };
@@ -83,6 +85,8 @@
     std::shared_ptr<bool> watchForStall();
     /// Cancels the current attempt if it has stalled and the request can go on elsewhere now. Returns whether it was cancelled.
     bool leaveIfStalled();
+    /// Time until the attempt is checked for a stall again.
+    Duration timeToStallCheck() const;
     StallEvidence stallEvidence() const;
     StallLimits stallLimits() const;
     boost::asio::awaitable<AttemptOutcome> readAnswer(std::unique_ptr<HttpResponseStream> stream);
--- a/Libraries/LibEntry/RequestRunStall.cpp
+++ b/Libraries/LibEntry/RequestRunStall.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace Godwitfork
 {
 
@@ -24,13 +26,18 @@
     auto watch = [this, ended]() -> Asio::awaitable<void> {
         Asio::steady_timer timer(this->context.context);
         while (true) {
-            timer.expires_after(stallCheckInterval);
+            timer.expires_after(this->timeToStallCheck());
             boost::system::error_code ignored;
             co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
             if (*ended) {
                 co_return;
             }
-            this->recordOverdueVersionTime();
+            if (!isStream(this->route->repeatRule) && !this->currentAttempt->plainAnswer) {
+                co_return;
+            }
+            if (isStream(this->route->repeatRule)) {
+                this->recordOverdueVersionTime();
+            }
             if (this->leaveIfStalled()) {
                 co_return;
             }
@@ -64,6 +71,13 @@
     return true;
 }
 
+// A plain request is checked when its time is over, since it may have only some hundred milliseconds in all.
+Duration RequestRun::timeToStallCheck() const
+{
+    const Duration untilStall = this->currentAttempt->plainAnswer.value_or(Duration::zero()) - this->stallEvidence().silence;
+    return untilStall > Duration::zero() ? std::min(untilStall, stallCheckInterval) : stallCheckInterval;
+}
+
 StallEvidence RequestRun::stallEvidence() const
 {
     const MonotonicTime now = monotonicNow();
@@ -76,7 +90,7 @@
 
 StallLimits RequestRun::stallLimits() const
 {
-    return {this->currentAttempt->choice.firstOutput, this->route->latencyObjective, this->route->pauseObjective};
+    return {this->currentAttempt->choice.firstOutput, this->route->latencyObjective, this->route->pauseObjective, this->currentAttempt->plainAnswer};
 }
 
 } // namespace Godwitfork
--- a/Libraries/LibGateway/AttemptRules.h
+++ b/Libraries/LibGateway/AttemptRules.h
@@ -90,7 +90,8 @@
 /// Whether a stream that broke off can be resumed at another endpoint.
 bool mayResume(const RequestProgress &progress, const RetryConditions &conditions);
 
-/// Time limit of the next attempt. An idempotent request that may be attempted again reserves a part of the remaining time for that.
+/// Time after which the next attempt is left if another one can follow then. An idempotent request that may be attempted again reserves a part
+/// of the remaining time for that.
 Duration attemptTimeLimit(const RequestProgress &progress, Duration remaining);
 
 /// HTTP status of a step that answers in place of the endpoint; 0 for the other steps.
--- a/Libraries/LibGateway/StallRules.cpp
+++ b/Libraries/LibGateway/StallRules.cpp
@@ -22,6 +22,9 @@
 
 Duration stallTimeout(const StallEvidence &evidence, const StallLimits &limits)
 {
+    if (limits.plainAnswer) {
+        return *limits.plainAnswer;
+    }
     return evidence.hasFirstEvent ? limits.pauseObjective * pauseObjectives
                                   : std::max(limits.latencyObjective * firstEventObjectives, limits.expectedFirstOutput * firstEventExpectations);
 }
@@ -32,6 +35,9 @@
     if (evidence.silence <= limit) {
         return false;
     }
+    if (limits.plainAnswer) {
+        return true;
+    }
     return evidence.sinceEndpointOutput > maxAliveOutputAge || evidence.silence > limit * aliveExtension;
 }
 
--- a/Tests/LibEntry/TestStalls.cpp
+++ b/Tests/LibEntry/TestStalls.cpp
@@ -57,6 +57,19 @@
     };
 }
 
+/// Answers after `delay`.
+EntryFixture::EndpointScript answerAfter(Duration delay, int *requests)
+{
+    return [=](HttpExchange &exchange) -> awaitable<void> {
+        ++*requests;
+        co_await sleep(delay);
+        HttpResponse response;
+        response.headers = validAnswerHeaders(exchange);
+        response.body = "answer";
+        co_await exchange.respond(std::move(response));
+    };
+}
+
 Route streamRoute(RepeatRule rule, int attemptLimit)
 {
     Route route = makeRoute(rule, attemptLimit);
@@ -232,3 +245,45 @@
     CHECK_FALSE(isOpen);
     CHECK(elapsed < 1400ms);
 }
+
+TEST_CASE("A plain request that can't be sent elsewhere has its whole time for its answer", "[stall]")
+{
+    // Guards against 502 and 504 for answers that would have come in time: part of the time was kept for a retry that was not allowed.
+    const std::string obstacle = GENERATE(std::string("budget"), std::string("endpoint"));
+    CAPTURE(obstacle);
+    EntryFixture entry;
+    Route route = makeRoute(RepeatRule::Idempotent, 2);
+    route.timeout = 1500ms;
+    entry.setRoute(route);
+    int requests = 0;
+    entry.addEndpoint("e1", answerAfter(1200ms, &requests));
+    if (obstacle == "budget") {
+        entry.addEndpoint("e2", answerAfter(1200ms, &requests));
+        forbidRetries(entry.state);
+    }
+    const HttpResponse answer = entry.send(callerHeaders("id1"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "answer");
+    CHECK(requests == 1);
+}
+
+TEST_CASE("A plain request without an answer is sent elsewhere while there is time", "[stall]")
+{
+    // Guards against a request that waits for a stopped endpoint until no other one has time to answer.
+    EntryFixture entry;
+    Route route = makeRoute(RepeatRule::Idempotent, 2);
+    route.timeout = 1500ms;
+    entry.setRoute(route);
+    int requests = 0;
+    const auto script = [&](HttpExchange &exchange) -> awaitable<void> {
+        const Duration delay = requests == 0 ? 5000ms : 0ms;
+        co_await answerAfter(delay, &requests)(exchange);
+    };
+    entry.addEndpoint("e1", script);
+    entry.addEndpoint("e2", script);
+    const MonotonicTime started = monotonicNow();
+    const HttpResponse answer = entry.send(callerHeaders("id1"));
+    CHECK(answer.status == 200);
+    CHECK(requests == 2);
+    CHECK(monotonicNow() - started < 1100ms);
+}
--- a/Tests/LibGateway/TestStallRules.cpp
+++ b/Tests/LibGateway/TestStallRules.cpp
@@ -43,3 +43,11 @@
 {
     CHECK_FALSE(isStalled({false, 7s, Duration::max()}, {2s, 2s, 1200ms}));
 }
+
+TEST_CASE("A plain request stalls once the time that it leaves to its endpoint has passed", "[stall]")
+{
+    // The rest of its time is for another endpoint, whatever this one sends to others.
+    const StallLimits plain {300ms, 2s, 1200ms, 600ms};
+    CHECK_FALSE(isStalled({false, 600ms, 100ms}, plain));
+    CHECK(isStalled({false, 601ms, 100ms}, plain));
+}
