Keep the counts of the retry budgets when the settings are reloaded

Cause: the reload dropped the budgets to apply new limits, and with them the requests that the share of retries is computed from, for a window of 10 s.

The reload applies the rule to the budgets and keeps their counts.

--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -214,8 +214,7 @@
             logEvent(LogLevel::Error, "settings.rejected", {{"cause", cause}, {"findings", findings.toText()}});
             return;
         }
-        this->state.settings = std::move(settings);
-        this->state.retryBudgets.clear();
+        this->state.adoptSettings(std::move(settings));
         logEvent(LogLevel::Info, "settings.reloaded", {{"cause", cause}});
     } catch (const std::system_error &error) {
         logEvent(LogLevel::Error, "settings.rejected", {{"cause", cause}, {"findings", error.what()}});
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -39,6 +39,14 @@
     return Godwitfork::catalogLimits(std::min(this->settings.drainLimit, this->settings.configurationLimit));
 }
 
+void EntryState::adoptSettings(EntrySettings newSettings)
+{
+    this->settings = std::move(newSettings);
+    for (auto &[service, budget] : this->retryBudgets) {
+        this->applyRetryRule(service, budget);
+    }
+}
+
 void EntryState::setRetryAllowance(double allowance)
 {
     this->retryAllowance = allowance;
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -59,6 +59,8 @@
     bool hasLoadedCatalog() const;
     /// Whether new callers may be sent to this instance.
     bool isReady(MonotonicTime now) const;
+    /// Replaces the settings. What the retry budgets have counted stays; their limits follow the new settings.
+    void adoptSettings(EntrySettings newSettings);
     /// Limits on the age of this instance's copy of the catalog.
     CatalogLimits catalogLimits() const;
     RetryBudget &retryBudget(const std::string &service);
