--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -23,6 +23,8 @@
 constexpr Duration unacknowledgedLimit = std::chrono::milliseconds(900);
 /// Part of the caller's deadline reserved for sending the answer back.
 constexpr Duration answerMargin = std::chrono::milliseconds(10);
+/// An answer with this status has no body, whatever its headers say.
+constexpr int noContentStatus = 204;
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
@@ -353,7 +355,8 @@
     outcome.end = AttemptEnd::Answered;
     outcome.answer = Platform::readAnswer(stream->status(), stream->headers());
     this->recordAnnouncement(outcome.answer.announcement);
-    if (isStream(this->route->repeatRule) && isSuccess(outcome.answer)) {
+    const bool isWithoutBody = outcome.answer.status == noContentStatus && !this->answerStarted;
+    if (isStream(this->route->repeatRule) && isSuccess(outcome.answer) && !isWithoutBody) {
         if (this->escalate(outcome.answer)) {
             const MonotonicTime now = monotonicNow();
             this->currentAttempt->firstOutput = now - this->currentAttempt->started;
