--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -23,6 +23,8 @@
 constexpr Duration unacknowledgedLimit = std::chrono::milliseconds(900);
 /// Part of the caller's deadline reserved for sending the answer back.
 constexpr Duration answerMargin = std::chrono::milliseconds(10);
+/// An answer with this status has no body, whatever its headers say.
+constexpr int noContentStatus = 204;
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
@@ -335,10 +337,14 @@
     headers.model = this->gatewayRequest.model.empty() ? this->currentAttempt->query.model : std::string();
     headers.resumeAfter = this->lastEventId;
     const Duration limit = attemptTimeLimit(this->progress, remaining);
-    HttpCallOptions options = this->callOptions(limit);
+    if (limit < remaining) {
+        this->currentAttempt->plainAnswer = limit;
+    }
+    HttpCallOptions options = this->callOptions(remaining);
     HttpRequest request = Platform::makeEndpointRequest(this->exchange.request(), headers);
     this->stalled = false;
-    const std::shared_ptr<bool> ended = isStream(this->route->repeatRule) ? this->watchForStall() : std::make_shared<bool>();
+    const std::shared_ptr<bool> ended =
+        isStream(this->route->repeatRule) || this->currentAttempt->plainAnswer ? this->watchForStall() : std::make_shared<bool>();
     auto stream = co_await this->context.client.open(this->currentAttempt->choice.endpoint.address, std::move(request), std::move(options));
     AttemptOutcome outcome;
     if (stream) {
@@ -350,7 +356,7 @@
     *ended = true;
     if (this->stalled) {
         this->reason = "endpoint_stalled";
-        outcome.end = AttemptEnd::TimedOut;
+        outcome.end = outcome.end == AttemptEnd::NotSent ? AttemptEnd::NotSent : AttemptEnd::TimedOut;
     }
     if (this->caller->interrupted && outcome.end != AttemptEnd::Answered) {
         this->reason = "instance_stopping";
@@ -365,7 +371,8 @@
     outcome.end = AttemptEnd::Answered;
     outcome.answer = Platform::readAnswer(stream->status(), stream->headers());
     this->recordAnnouncement(outcome.answer.announcement);
-    if (isStream(this->route->repeatRule) && isSuccess(outcome.answer)) {
+    const bool isWithoutBody = outcome.answer.status == noContentStatus && !this->answerStarted;
+    if (isStream(this->route->repeatRule) && isSuccess(outcome.answer) && !isWithoutBody) {
         if (this->escalate(outcome.answer)) {
             const MonotonicTime now = monotonicNow();
             this->currentAttempt->firstOutput = now - this->currentAttempt->started;
@@ -380,6 +387,7 @@
         }
         co_return outcome;
     }
+    this->currentAttempt->plainAnswer.reset();
     BufferedAnswer answer;
     answer.status = stream->status();
     answer.headers = Platform::callerAnswerHeaders(stream->headers());
