--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -409,11 +409,21 @@
 
 FleetMember decodeMember(const Json &json)
 {
-    FleetMember member {readName(json.at(0)), readName(json.at(1)), static_cast<int>(readInteger(json.at(2), 0, maxCapacity)), readName(json.at(3))};
-    if (parseHttpAddress(member.address).port == 0) {
+    return {readName(json.at(0)), readName(json.at(1)), static_cast<int>(readInteger(json.at(2), 0, maxCapacity)), readName(json.at(3))};
+}
+
+bool hasAddress(const FleetMember &member)
+{
+    return parseHttpAddress(member.address).port != 0;
+}
+
+MemberSighting decodeSighting(const Json &json)
+{
+    MemberSighting sighting {decodeMember(json.at(0)), readMilliseconds(json.at(1))};
+    if (!hasAddress(sighting.member)) {
         throw std::invalid_argument("the address of a member is not an IP address and a port");
     }
-    return member;
+    return sighting;
 }
 
 std::string toBytes(const Json &json)
@@ -517,6 +527,10 @@
         PeerReport report;
         ItemFaults &faults = report.faults;
         report.sender = decodeMember(json.at(0));
+        if (!hasAddress(report.sender)) {
+            ++faults[ItemFault::InvalidValue];
+            report.sender.address.clear();
+        }
         report.wantsSummary = json.at(1).get<bool>();
         report.fleetHash = readHash(json.at(2));
         report.configuration = readVersion(json.at(3));
@@ -538,9 +552,7 @@
         ItemFaults &faults = summary.faults;
         summary.failureDomain = readName(json.at(0));
         summary.memberCount = readCount(json.at(1));
-        decodeItems(json.at(2), faults, [&summary](const Json &sighting) {
-            summary.members.push_back({decodeMember(sighting.at(0)), readMilliseconds(sighting.at(1))});
-        });
+        decodeItems(json.at(2), faults, [&summary](const Json &sighting) { summary.members.push_back(decodeSighting(sighting)); });
         summary.listsAllMembers = json.at(3).get<bool>();
         summary.oldestUnlisted = readMilliseconds(json.at(4));
         summary.configuration = readVersion(json.at(5));
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -164,6 +164,12 @@
         REQUIRE(decoded);
         CHECK(decoded.value().members == summary.members);
         CHECK(decoded.value().faults.size() == 1);
+        PeerReport report = fullReport();
+        report.sender.address = odd;
+        const auto ofSender = decodePeerReport(encodePeerReport(report));
+        REQUIRE(ofSender);
+        CHECK(ofSender.value().sender.address.empty());
+        CHECK(ofSender.value().leaving == report.leaving);
     }
     CHECK(decodePeerSummary(valid).value() == summary);
 }
