Admit request bodies against the memory before they are read

Cause: the server read the bodies of all connections without a bound on their sum, before the key was checked, and kept the body of an answered request until the next one had been read.

Now the server asks for the body after the head: the whole with a length, as it comes in chunks. Without room the body is not read, the request is refused at once with 503 and Retry-After, and the connection closes. A wait would not help: on the platform unread bytes count as well. Small bodies, the answers and the other client accounts have room of their own. A large body whose key or route isn't known is not read either. The limit comes with the program argument; without it 88 MB. memory.refused and two metrics show what is held and refused.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -39,6 +39,14 @@
                                                                  .Name("godwitfork_entry_endpoint_announcements_total")
                                                                  .Help("Answers in which an endpoint said something new of itself, by service and kind")
                                                                  .Register(this->registry);
+    prometheus::Family<prometheus::Counter> &memoryRefusals = prometheus::BuildCounter()
+                                                                  .Name("godwitfork_entry_memory_refusals_total")
+                                                                  .Help("Bodies, answers and events that were not held for lack of memory, by use")
+                                                                  .Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &memoryHeld = prometheus::BuildGauge()
+                                                            .Name("godwitfork_entry_memory_held_bytes")
+                                                            .Help("Bytes of requests and answers that are held, by use")
+                                                            .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &trialAnswers = prometheus::BuildGauge()
                                                               .Name("godwitfork_entry_trial_answers")
                                                               .Help("Answers counted for a version under trial, by service, version and result")
@@ -80,6 +88,11 @@
     this->state->announcements.Add({{"service", service}, {"kind", kind}}).Increment();
 }
 
+void EntryMetrics::recordMemoryRefusal(const char *use)
+{
+    this->state->memoryRefusals.Add({{"use", use}}).Increment();
+}
+
 void EntryMetrics::setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures)
 {
     this->state->trialAnswers.Add({{"service", service}, {"version", version}, {"result", "all"}}).Set(answers);
@@ -94,6 +107,9 @@
     for (const auto &[kind, age] : gauges.copyAgeSeconds) {
         this->state->gauges.Add({{"name", kind + "_copy_age_seconds"}}).Set(age);
     }
+    for (const auto &[use, bytes] : gauges.memoryHeldBytes) {
+        this->state->memoryHeld.Add({{"use", use}}).Set(bytes);
+    }
     this->state->gauges.Add({{"name", "ready"}}).Set(gauges.isReady ? 1 : 0);
     return prometheus::TextSerializer().Serialize(this->state->registry.Collect());
 }
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -16,6 +16,8 @@
     double endpoints = 0;
     /// Time since the copy of each catalog kind was last known to match the store, by kind name.
     std::map<std::string, double> copyAgeSeconds;
+    /// Bytes of requests and answers that are held, by use.
+    std::map<std::string, double> memoryHeldBytes;
     bool isReady = false;
 };
 
@@ -36,6 +38,8 @@
     void recordPromptRefusal(const std::string &service);
     /// Counts an answer in which an endpoint of the service said something new of itself; `kind` is "limit", "leaving" or "closed".
     void recordAnnouncement(const std::string &service, const char *kind);
+    /// Counts bytes that were not held for lack of memory; `use` as in memoryUseName.
+    void recordMemoryRefusal(const char *use);
     /// Sets the numbers of answers and of failures that this instance has counted for a version under trial.
     void setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures);
     std::string toText(const EntryGauges &gauges);
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -1,6 +1,7 @@
 #include "LibEntry/EntryService.h"
 
 #include "LibCore/Log.h"
+#include "LibEntry/BodyAdmission.h"
 #include "LibEntry/CatalogChanges.h"
 #include "LibSettings/SettingsReader.h"
 
@@ -77,6 +78,7 @@
     , stopSignals(this->context, SIGTERM, SIGINT)
     , reloadSignals(this->context, SIGHUP)
 {
+    this->callers.setBodyAdmission([this](const HttpRequest &head) { return admitBody(this->state, head); });
     for (const CatalogKind kind : {CatalogKind::Configuration, CatalogKind::Endpoints, CatalogKind::Rollouts}) {
         this->followers.push_back(std::make_unique<CatalogFollower>(this->context, this->catalog, this->state, kind));
     }
@@ -132,6 +134,9 @@
         gauges.copyAgeSeconds[catalogKindName(kind)] = std::chrono::duration<double>(monotonicNow() - freshness.confirmedAt).count();
     }
     gauges.endpoints = static_cast<double>(this->state.endpoints.size());
+    for (const MemoryUse use : memoryUses) {
+        gauges.memoryHeldBytes[memoryUseName(use)] = static_cast<double>(this->state.memory.held(use));
+    }
     gauges.isReady = this->state.isReady(monotonicNow());
     return gauges;
 }
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -11,6 +11,11 @@
 namespace Godwitfork
 {
 
+/// The least memory of an instance on the platform, in units of 1,000,000 bytes.
+constexpr long defaultMemoryLimitMb = 88;
+constexpr long minMemoryLimitMb = 32;
+constexpr long maxMemoryLimitMb = 1'000'000;
+
 /// Settings of one entry process. Defaults and ranges are documented in docs/settings.md.
 struct EntrySettings {
     std::string instance;
@@ -27,6 +32,8 @@
     /// CPU cores that the process may use; fractions are allowed.
     double coreShare = 1;
     LogLevel logLevel = LogLevel::Info;
+    /// Memory that the process may use, in units of 1,000,000 bytes.
+    long memoryLimitMb = defaultMemoryLimitMb;
     /// Longest time from SIGTERM to the exit of the process.
     Duration stopLimit = std::chrono::seconds(8);
     /// Retries that each request adds to a service's retry budget, over all instances.
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -13,10 +13,14 @@
 constexpr double retryRatioFactor = 0.85;
 /// Fraction of the fixed retry allowance that is handed out. The rest covers instances that are not discovered yet.
 constexpr double retryAllowanceFactor = 0.5;
+constexpr std::size_t bytesInMb = 1'000'000;
+/// Part of the process's memory, as a divisor, that requests and answers may hold. The rest is for the program, its connections and the catalog.
+constexpr std::size_t memoryCapacityDivisor = 2;
 } // namespace
 
 EntryState::EntryState(EntrySettings settings)
     : settings(std::move(settings))
+    , memory(memoryLimits(static_cast<std::size_t>(this->settings.memoryLimitMb) * bytesInMb / memoryCapacityDivisor))
     , endpoints(reregistrationTime)
     , versions(this->settings.exposureShare, static_cast<double>(this->settings.exposureTolerance), this->settings.sessionLifetime)
     , chooser(this->settings.failureDomain)
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/MemoryBudget.h"
 #include "LibCore/Random.h"
 #include "LibEntry/EntrySettings.h"
 #include "LibGateway/Catalog.h"
@@ -28,6 +29,8 @@
     explicit EntryState(EntrySettings settings);
 
     EntrySettings settings;
+    /// Account of the bytes of requests and answers that this instance holds.
+    MemoryBudget memory;
     /// Routes of the configuration in force; null until one was read from the store.
     std::shared_ptr<const RouteTable> routes;
     MonotonicTime routesAdoptedAt;
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Digest.h"
 #include "LibCore/Log.h"
+#include "LibEntry/BodyAdmission.h"
 #include "LibGateway/StallRules.h"
 #include "LibHttp/EventSplitter.h"
 #include "RequestHeaders.h"
@@ -32,11 +33,7 @@
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
-
-std::string withoutPort(const std::string &host)
-{
-    return host.substr(0, host.find(':'));
-}
+constexpr int notReadyStatus = 503;
 
 std::string errorBody(const std::string &reason)
 {
@@ -110,29 +107,19 @@
 
 Asio::awaitable<bool> RequestRun::checkRequest()
 {
-    if (!this->state.hasLoadedCatalog()) {
-        co_await this->sendOwnAnswer(503, "configuration_not_known", this->retryDelay());
-        co_return false;
-    }
-    if (this->gatewayRequest.id.empty()) {
-        co_await this->sendOwnAnswer(400, "request_id_missing", Duration::zero());
+    const HeadCheck check = checkHead(this->state, this->gatewayRequest);
+    this->route = check.route;
+    this->account = check.account;
+    if (check.refusalStatus != 0) {
+        const Duration retryAfter = check.refusalStatus == notReadyStatus ? this->retryDelay() : Duration::zero();
+        co_await this->sendOwnAnswer(check.refusalStatus, check.refusalReason, retryAfter);
         co_return false;
     }
-    this->route = this->routes->findRoute(this->gatewayRequest.host, this->gatewayRequest.path);
-    if (!this->route) {
-        this->route = this->routes->findRoute(withoutPort(this->gatewayRequest.host), this->gatewayRequest.path);
-    }
-    if (!this->route) {
-        co_await this->sendOwnAnswer(404, "route_not_found", Duration::zero());
+    if (this->exchange.isBodyMissing()) {
+        this->recordMemoryRefusal(MemoryUse::RequestBody);
+        co_await this->sendOwnAnswer(notReadyStatus, "memory_short", this->retryDelay());
         co_return false;
     }
-    if (!this->route->isPublic && !this->routes->configuration().accounts.empty()) {
-        this->account = this->routes->findAccount(this->gatewayRequest.key);
-        if (!this->account) {
-            co_await this->sendOwnAnswer(401, "key_not_known", Duration::zero());
-            co_return false;
-        }
-    }
     co_return true;
 }
 
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -111,6 +111,8 @@
     void recordAnnouncement(const EndpointAnnouncement &announcement);
     /// Records an endpoint that was lost before it had output for this request's prompt.
     void recordPromptCrash(const AttemptOutcome &outcome);
+    /// Counts and logs bytes that this instance may not hold now.
+    void recordMemoryRefusal(MemoryUse use);
     boost::asio::awaitable<void> refuseQuarantined(QuarantinedPart part);
     bool isStreamWhole(const HttpResponseStream &stream, bool hasPartialEvent, std::int64_t events) const;
     HttpCallOptions callOptions(Duration limit);
--- a/Libraries/LibEntry/RequestRunEvidence.cpp
+++ b/Libraries/LibEntry/RequestRunEvidence.cpp
@@ -85,6 +85,22 @@
     this->hasFailedOnCandidate = this->hasFailedOnCandidate || answer.isFailure;
 }
 
+void RequestRun::recordMemoryRefusal(MemoryUse use)
+{
+    const MemoryBudget &memory = this->state.memory;
+    this->context.metrics.recordMemoryRefusal(memoryUseName(use));
+    logEvent(LogLevel::Warning,
+             "memory.refused",
+             {{"request", this->gatewayRequest.id},
+              {"account", this->account ? this->account->name : std::string()},
+              {"use", memoryUseName(use)},
+              {"length", headerValue(this->exchange.request().headers, "Content-Length")},
+              {"held_bodies", memory.held(MemoryUse::RequestBody)},
+              {"held_answers", memory.held(MemoryUse::Answer)},
+              {"held_events", memory.held(MemoryUse::PartialEvent)},
+              {"capacity", memory.limits().capacity}});
+}
+
 void RequestRun::recordVersionStart()
 {
     if (!this->currentAttempt->isAnswerRecorded) {
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
@@ -43,6 +44,7 @@
     HttpServerLimits limits;
     HttpHandler handler;
     HttpErrorFormatter formatError;
+    BodyAdmission admitBody;
     std::set<Connection *> connections;
     bool isKeepAliveDisabled = false;
     bool stopping = false;
@@ -50,19 +52,41 @@
 
 namespace
 {
-HttpRequest extractRequest(Parser &parser)
+/// A request with the memory reserved for its body.
+struct ReceivedRequest {
+    HttpRequest request;
+    MemoryReservation memory;
+    bool isBodyMissing = false;
+};
+
+HttpRequest extractHead(const Parser &parser)
 {
-    auto message = parser.release();
+    const auto &message = parser.get();
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto &field : message) {
         request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    request.body = std::move(message.body());
     return request;
 }
 
+/// Makes room for the bytes of the next read, at most `readBytes`, in a body of unknown length. Returns false if the memory may not be held.
+bool growBody(std::string &body, MemoryReservation &memory, std::size_t readBytes)
+{
+    const std::size_t needed = body.size() + readBytes;
+    if (needed <= body.capacity()) {
+        return true;
+    }
+    const std::size_t capacity = std::max(needed, 2 * body.capacity());
+    // Both copies are held while the bytes move.
+    if (!memory.resize(body.size() + capacity)) {
+        return false;
+    }
+    body.reserve(capacity);
+    return memory.resize(capacity);
+}
+
 /// Serves the requests of one TCP connection, one after the other.
 class Connection
     : public HttpExchange
@@ -76,6 +100,7 @@
     void closeIfIdle();
 
     const HttpRequest &request() const override;
+    bool isBodyMissing() const override;
     Asio::awaitable<bool> respond(HttpResponse response) override;
     Asio::awaitable<bool> startStream(int status, HttpHeaders headers) override;
     Asio::awaitable<bool> writeChunk(std::string bytes) override;
@@ -87,6 +112,7 @@
     void watchForDisconnect();
     void stopWatching();
     Asio::awaitable<bool> readRequest();
+    Asio::awaitable<boost::system::error_code> readBody(Parser &parser);
     Asio::awaitable<void> readUntilClosed();
     Asio::awaitable<void> respondWithError(int status, const std::string &code, const std::string &message);
     template<typename Message>
@@ -95,7 +121,7 @@
     Beast::tcp_stream stream;
     std::shared_ptr<HttpServer::State> state;
     Beast::flat_buffer buffer;
-    HttpRequest current;
+    std::shared_ptr<ReceivedRequest> current;
     std::function<void()> disconnectHandler;
     /// Number of the current disconnect watch; a completion with another number belongs to an earlier request.
     std::uint64_t watchNumber = 0;
@@ -125,7 +151,12 @@
 
 const HttpRequest &Connection::request() const
 {
-    return this->current;
+    return this->current->request;
+}
+
+bool Connection::isBodyMissing() const
+{
+    return this->current->isBodyMissing;
 }
 
 void Connection::abort()
@@ -258,18 +289,17 @@
     this->isIdle = false;
     this->stream.expires_after(limits.requestTimeout);
     co_await Http::async_read_header(this->stream, this->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
-    if (!error && Beast::iequals(parser.get()[Http::field::expect], "100-continue")) {
-        static constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await Asio::async_write(this->stream, Asio::buffer(continueLine), Asio::redirect_error(Asio::use_awaitable, error));
-    }
     if (!error) {
-        co_await Http::async_read(this->stream, this->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        this->current = std::make_shared<ReceivedRequest>();
+        error = co_await this->readBody(parser);
     }
     if (!error) {
-        this->keepAlive = parser.keep_alive();
-        this->current = extractRequest(parser);
+        this->keepAlive = parser.keep_alive() && !this->current->isBodyMissing;
+        this->current->request = extractHead(parser);
+        this->current->request.body = std::move(parser.get().body());
         co_return true;
     }
+    this->current.reset();
     if (error == Http::error::body_limit) {
         co_await this->respondWithError(413, "body_too_large", "the request body exceeds " + std::to_string(limits.maxBodyBytes) + " bytes");
     } else if (error == Http::error::header_limit) {
@@ -283,6 +313,37 @@
     co_return false;
 }
 
+Asio::awaitable<boost::system::error_code> Connection::readBody(Parser &parser)
+{
+    boost::system::error_code error;
+    MemoryReservation &memory = this->current->memory;
+    const bool hasBody = parser.chunked() || parser.content_length().value_or(0) > 0;
+    if (hasBody && this->state->admitBody) {
+        std::optional<MemoryReservation> admitted = this->state->admitBody(extractHead(parser));
+        if (!admitted || !admitted->resize(parser.content_length().value_or(0))) {
+            this->current->isBodyMissing = true;
+            co_return error;
+        }
+        memory = std::move(*admitted);
+    }
+    if (Beast::iequals(parser.get()[Http::field::expect], "100-continue")) {
+        static constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await Asio::async_write(this->stream, Asio::buffer(continueLine), Asio::redirect_error(Asio::use_awaitable, error));
+    }
+    while (!error && !parser.is_done()) {
+        // A read prepares the rest of the buffer or, if it is nearly full, this many bytes.
+        static constexpr std::size_t leastRead = 512;
+        if (parser.chunked() && !growBody(parser.get().body(), memory, this->buffer.capacity() + leastRead)) {
+            parser.get().body() = std::string();
+            this->current->isBodyMissing = true;
+            memory = MemoryReservation();
+            co_return error;
+        }
+        co_await Http::async_read_some(this->stream, this->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    }
+    co_return error;
+}
+
 Asio::awaitable<void> Connection::run()
 {
     while (this->keepAlive && !this->state->stopping) {
@@ -292,6 +353,8 @@
         }
         co_await this->state->handler(*this);
         this->stopWatching();
+        // The next body is not read while this one is held.
+        this->current.reset();
     }
     co_await this->readUntilClosed();
 }
@@ -361,6 +424,11 @@
     this->state->limits = limits;
 }
 
+void HttpServer::setBodyAdmission(BodyAdmission admitBody)
+{
+    this->state->admitBody = std::move(admitBody);
+}
+
 void HttpServer::disableKeepAlive()
 {
     this->state->isKeepAliveDisabled = true;
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/MemoryBudget.h"
 #include "LibCore/Time.h"
 #include "LibHttp/HttpMessage.h"
 
@@ -10,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Godwitfork
@@ -22,6 +24,11 @@
     virtual ~HttpExchange() = default;
 
     virtual const HttpRequest &request() const = 0;
+    /// Whether the request's body was not kept, see BodyAdmission. The request must be refused, and its connection closes after the response.
+    virtual bool isBodyMissing() const
+    {
+        return false;
+    }
     /// Sends a complete response. Returns false if the connection was lost.
     virtual boost::asio::awaitable<bool> respond(HttpResponse response) = 0;
     /// Starts a response of unknown length in chunked coding. Returns false if the connection was lost.
@@ -40,6 +47,10 @@
 /// Builds the error response to a request that the server rejects before calling the handler. `code` is the stable error code.
 using HttpErrorFormatter = std::function<HttpResponse(int status, const std::string &code, const std::string &message)>;
 
+/// Decides on a request's body from the request's head. The server lets the returned reservation grow before it reads the body, or with each
+/// part of a body of unknown length. Without a reservation, or once it may not grow, the body is not read and the handler is called at once.
+using BodyAdmission = std::function<std::optional<MemoryReservation>(const HttpRequest &head)>;
+
 struct HttpServerLimits {
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = 1024 * 1024;
@@ -64,6 +75,8 @@
     void start();
     /// Replaces the limits; open connections apply them from their next request.
     void setLimits(const HttpServerLimits &limits);
+    /// Sets the admission of request bodies; by default all bodies within the limits are read.
+    void setBodyAdmission(BodyAdmission admitBody);
     /// Closes each connection after its current or next response. New connections are still accepted.
     void disableKeepAlive();
     /// Closes the listener and idle connections; a connection with a request in progress closes after the response. Must be
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -27,13 +27,23 @@
         "", "settings", "YAML file with the process settings", false, fromEnvironment ? fromEnvironment : "", "file", command);
     TCLAP::SwitchArg check("", "check-settings", "Report all mistakes in the settings and exit", command);
     TCLAP::SwitchArg print("", "print-settings", "Print the settings in force and exit", command);
+    TCLAP::ValueArg<double> memoryLimit("", "memory-limit-mb", "Memory that the process may use, in MB; replaces the setting", false, 0, "MB", command);
     command.parse(argc, argv);
     if (settingsFile.getValue().empty()) {
         std::cerr << "godwitfork-entry: no settings file given: use --settings or set " << Platform::settingsVariable << "\n";
         return exitFindings;
     }
     Findings findings;
-    const EntrySettings settings = parseEntrySettings(settingsFile.getValue(), readFile(settingsFile.getValue()), findings);
+    EntrySettings settings = parseEntrySettings(settingsFile.getValue(), readFile(settingsFile.getValue()), findings);
+    if (memoryLimit.isSet()) {
+        // The negated comparison also refuses NaN.
+        const double limit = memoryLimit.getValue();
+        if (!(limit >= minMemoryLimitMb && limit <= maxMemoryLimitMb)) {
+            std::cerr << "godwitfork-entry: --memory-limit-mb must be from " << minMemoryLimitMb << " to " << maxMemoryLimitMb << "\n";
+            return exitFindings;
+        }
+        settings.memoryLimitMb = static_cast<long>(limit);
+    }
     if (!findings.isEmpty()) {
         std::cerr << findings.toText();
         return exitFindings;
--- a/Tests/LibEntry/EntryFixture.cpp
+++ b/Tests/LibEntry/EntryFixture.cpp
@@ -1,5 +1,7 @@
 #include "EntryFixture.h"
 
+#include "LibEntry/BodyAdmission.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
@@ -47,6 +49,7 @@
           [this](HttpExchange &exchange) { return this->serve(exchange); },
           refusal)
 {
+    this->router.setBodyAdmission([this](const HttpRequest &head) { return admitBody(this->state, head); });
     this->router.start();
     this->state.setRetryAllowance(100);
     this->state.endpointsKnown = true;
@@ -118,6 +121,49 @@
     }
 }
 
+void EntryFixture::addRawEndpoint(const std::string &id, std::function<Asio::awaitable<void>(Asio::ip::tcp::socket &)> script)
+{
+    using Tcp = Asio::ip::tcp;
+    auto acceptor = std::make_shared<Tcp::acceptor>(this->context, Tcp::endpoint(Asio::ip::make_address(anyPort.host), 0));
+    this->putEntry(id, {anyPort.host, acceptor->local_endpoint().port()});
+    auto serve = [script](std::shared_ptr<Tcp::socket> socket) -> Asio::awaitable<void> {
+        // An error means that the router has closed the connection.
+        co_await script(*socket);
+    };
+    auto accept = [this, acceptor, serve]() -> Asio::awaitable<void> {
+        while (true) {
+            auto socket = std::make_shared<Tcp::socket>(co_await acceptor->async_accept(Asio::use_awaitable));
+            Asio::co_spawn(
+                this->context, [serve, socket] { return serve(socket); }, Asio::detached);
+        }
+    };
+    // The lambda must outlive its coroutine.
+    auto kept = std::make_shared<decltype(accept)>(std::move(accept));
+    Asio::co_spawn(
+        this->context, [kept]() -> Asio::awaitable<void> { co_await (*kept)(); }, Asio::detached);
+}
+
+void EntryFixture::runAll(std::vector<std::function<Asio::awaitable<void>()>> coroutines)
+{
+    std::size_t running = coroutines.size();
+    for (const auto &coroutine : coroutines) {
+        Asio::co_spawn(this->context, coroutine, [&running](const std::exception_ptr &) { --running; });
+    }
+    while (running > 0) {
+        this->context.run_one();
+    }
+}
+
+HttpAddress EntryFixture::routerAddress() const
+{
+    return this->router.address();
+}
+
+Asio::io_context &EntryFixture::executor()
+{
+    return this->context;
+}
+
 void EntryFixture::putEntry(const std::string &id, HttpAddress address)
 {
     EndpointEntry entry;
--- a/Tests/LibEntry/EntryFixture.h
+++ b/Tests/LibEntry/EntryFixture.h
@@ -30,7 +30,13 @@
     void addUnframedEndpoint(const std::string &id, std::string response, bool resets);
     /// Adds a ready endpoint that writes, on one kept connection, `answers[n]` after the n-th request; `{id}` stands for the request's id.
     void addScriptedEndpoint(const std::string &id, std::vector<std::string> answers, int *requests);
+    /// Adds a ready endpoint that runs `script` on each connection and then closes it.
+    void addRawEndpoint(const std::string &id, std::function<boost::asio::awaitable<void>(boost::asio::ip::tcp::socket &)> script);
     void setRoute(Route route);
+    /// Runs all coroutines at once until they have ended.
+    void runAll(std::vector<std::function<boost::asio::awaitable<void>()>> coroutines);
+    HttpAddress routerAddress() const;
+    boost::asio::io_context &executor();
     /// Sends a request to the router and waits for the answer. Returns status 0 if the connection is lost.
     HttpResponse send(HttpHeaders headers);
 
--- a/Tests/LibEntry/TestEntrySettings.cpp
+++ b/Tests/LibEntry/TestEntrySettings.cpp
@@ -38,3 +38,16 @@
     // Five missing keys and five invalid values or unknown keys.
     CHECK(findings.entries().size() == 10);
 }
+
+TEST_CASE("The memory limit is checked and printed", "[settings]")
+{
+    Findings findings;
+    const EntrySettings settings = parseEntrySettings("s.yaml", complete + "memory_limit_mb: 260\n", findings);
+    CHECK(findings.isEmpty());
+    CHECK(settings.memoryLimitMb == 260);
+    CHECK(parseEntrySettings("s.yaml", printEntrySettings(settings), findings) == settings);
+    CHECK(parseEntrySettings("s.yaml", complete, findings).memoryLimitMb == defaultMemoryLimitMb);
+    CHECK(findings.isEmpty());
+    parseEntrySettings("s.yaml", complete + "memory_limit_mb: 31\n", findings);
+    CHECK(findings.entries().size() == 1);
+}
