Hold a request's body once for all its attempts

Each attempt copied the body into its message, which lived until it was sent; an instance held large bodies twice, and the copies were in no account. The message now refers to the body, whose memory stays reserved until the last attempt has sent it or closed its connection.

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -318,6 +318,7 @@
     headers.resumeAfter = this->lastEventId;
     const Duration limit = attemptTimeLimit(this->progress, remaining);
     HttpCallOptions options = this->callOptions(limit);
+    options.sharedBody = this->exchange.sharedBody();
     HttpRequest request = Platform::makeEndpointRequest(this->exchange.request(), headers);
     this->stalled = false;
     const std::shared_ptr<bool> ended = isStream(this->route->repeatRule) ? this->watchForStall() : std::make_shared<bool>();
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -59,7 +59,8 @@
 
 /// A request that is being sent. It may outlive the call, since the peer may respond before it has read the whole request.
 struct OutgoingRequest {
-    Http::request<Http::string_body> message;
+    Http::request<Http::span_body<const char>> message;
+    std::shared_ptr<const std::string> body;
     bool written = false;
 };
 } // namespace
@@ -305,9 +306,9 @@
     }
 }
 
-Http::request<Http::string_body> makeMessage(const HttpAddress &address, HttpRequest request)
+Http::request<Http::span_body<const char>> makeMessage(const HttpAddress &address, const HttpRequest &request, const std::string &body)
 {
-    Http::request<Http::string_body> message;
+    Http::request<Http::span_body<const char>> message;
     message.method_string(request.method);
     message.target(request.target);
     message.version(11);
@@ -317,7 +318,7 @@
     if (message.find(Http::field::host) == message.end()) {
         message.set(Http::field::host, toText(address));
     }
-    message.body() = std::move(request.body);
+    message.body() = Beast::span<const char>(body.data(), body.size());
     message.prepare_payload();
     return message;
 }
@@ -383,14 +384,17 @@
     }
 
     auto outgoing = std::make_shared<OutgoingRequest>();
-    outgoing->message = makeMessage(address, std::move(request));
+    outgoing->body = options.sharedBody ? std::move(options.sharedBody) : std::make_shared<const std::string>(std::move(request.body));
+    outgoing->message = makeMessage(address, request, *outgoing->body);
     stream->expires_after(options.responseTimeout);
     if (options.mayWrite && !options.mayWrite()) {
         co_return HttpClientError {SendPhase::NotSent, HttpFailure::Withheld, "the request was withheld before its first byte was sent"};
     }
     // The response is read while the request is still being sent, since the peer may respond before it has read a long body.
-    Http::async_write(
-        *stream, outgoing->message, [stream, outgoing](const boost::system::error_code &writeError, std::size_t) { outgoing->written = !writeError; });
+    Http::async_write(*stream, outgoing->message, [stream, outgoing](const boost::system::error_code &writeError, std::size_t) {
+        outgoing->written = !writeError;
+        outgoing->body.reset();
+    });
     auto response =
         std::make_unique<PooledResponseStream>(state, address, options.idleTimeout, options.maxBodyBytes, std::move(stream), outgoing, options.canceller);
     error = co_await response->readHeader();
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -84,6 +84,8 @@
     /// before the other timeouts expire.
     Duration tcpUserTimeout = Duration::zero();
     std::shared_ptr<HttpCallCanceller> canceller;
+    /// Body of the request in place of `HttpRequest::body`; held until it is sent or the connection is closed. Null: the request has its own.
+    std::shared_ptr<const std::string> sharedBody;
     /// Returns whether a response with these headers belongs to this request; a late response to an earlier request is skipped.
     /// If not set, every response is accepted.
     std::function<bool(const HttpHeaders &, ConnectionAge)> isMatchingResponse;
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -100,6 +100,7 @@
     void closeIfIdle();
 
     const HttpRequest &request() const override;
+    std::shared_ptr<const std::string> sharedBody() const override;
     bool isBodyMissing() const override;
     Asio::awaitable<bool> respond(HttpResponse response) override;
     Asio::awaitable<bool> startStream(int status, HttpHeaders headers) override;
@@ -154,6 +155,11 @@
     return this->current->request;
 }
 
+std::shared_ptr<const std::string> Connection::sharedBody() const
+{
+    return {this->current, &this->current->request.body};
+}
+
 bool Connection::isBodyMissing() const
 {
     return this->current->isBodyMissing;
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -24,6 +24,11 @@
     virtual ~HttpExchange() = default;
 
     virtual const HttpRequest &request() const = 0;
+    /// The request's body. Its memory is reserved until the last holder is gone, also after the exchange has ended.
+    virtual std::shared_ptr<const std::string> sharedBody() const
+    {
+        return std::make_shared<const std::string>(this->request().body);
+    }
     /// Whether the request's body was not kept, see BodyAdmission. The request must be refused, and its connection closes after the response.
     virtual bool isBodyMissing() const
     {
--- a/Tests/LibEntry/TestMemoryOfRequests.cpp
+++ b/Tests/LibEntry/TestMemoryOfRequests.cpp
@@ -99,18 +99,25 @@
     ++statuses[answer.starts_with(start) ? std::stoi(answer.substr(start.size(), 3)) : 0];
 }
 
-/// Reads one request and its body, which is not kept; returns its head.
-awaitable<std::string> readHead(Tcp::socket &socket)
+/// Reads one request and its body, which is not kept; returns its head. Counts a body that differs from `expected`.
+awaitable<std::string> readHead(Tcp::socket &socket, const std::string *expected = nullptr, int *differences = nullptr)
 {
     std::string head;
     const std::size_t length = co_await Asio::async_read_until(socket, Asio::dynamic_buffer(head), "\r\n\r\n", Asio::use_awaitable);
     const std::string name = "Content-Length: ";
     const std::size_t at = head.find(name);
     std::size_t rest = at == std::string::npos ? 0 : std::stoul(head.substr(at + name.size()));
+    if (expected) {
+        *differences += rest != expected->size() || expected->compare(0, head.size() - length, head, length, std::string::npos) != 0 ? 1 : 0;
+    }
     rest -= std::min(rest, head.size() - length);
     std::string block(4096, '\0');
     while (rest > 0) {
-        rest -= co_await socket.async_read_some(Asio::buffer(block.data(), std::min(rest, block.size())), Asio::use_awaitable);
+        const std::size_t received = co_await socket.async_read_some(Asio::buffer(block.data(), std::min(rest, block.size())), Asio::use_awaitable);
+        if (expected) {
+            *differences += expected->compare(expected->size() - rest, received, block, 0, received) != 0 ? 1 : 0;
+        }
+        rest -= received;
     }
     head.resize(length);
     co_return head;
@@ -193,3 +200,51 @@
         CHECK(count(later, 200) == 3);
     }
 }
+
+// Guards against a copy of a large body for each attempt.
+TEST_CASE("A body is held once while its attempts send it, and each attempt sends it whole", "[memory]")
+{
+    constexpr int callers = 18;
+    constexpr std::size_t connectionBytes = 8'000'000;
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::NonIdempotent, 2));
+    std::string body(bodyBytes, 'b');
+    for (std::size_t i = 0; i < body.size(); ++i) {
+        body[i] = static_cast<char>('a' + i % 23);
+    }
+    int requests = 0;
+    int differences = 0;
+    for (const char *id : {"e1", "e2"}) {
+        entry.addRawEndpoint(id, [&](Tcp::socket &socket) -> awaitable<void> {
+            // The body stays in the router until all callers have sent theirs.
+            Asio::steady_timer timer(entry.executor(), 500ms);
+            co_await timer.async_wait(Asio::use_awaitable);
+            const std::string head = co_await readHead(socket, &body, &differences);
+            std::string answer = soundAnswer(head);
+            if (++requests <= callers) {
+                answer.replace(0, answer.find("\r\n"), "HTTP/1.1 503 Unavailable\r\nX-Not-Executed: 1");
+            }
+            co_await Asio::async_write(socket, Asio::buffer(answer), Asio::use_awaitable);
+        });
+    }
+    Statuses statuses;
+    HeapPeak heap;
+    int running = callers;
+    std::vector<std::function<awaitable<void>()>> calls;
+    for (int i = 0; i < callers; ++i) {
+        calls.push_back([&, i]() -> awaitable<void> {
+            Call request;
+            request.id = "request-" + std::to_string(i);
+            request.body = &body;
+            co_await call(entry, request, statuses);
+            heap.isStopping = --running == 0;
+        });
+    }
+    calls.push_back([&] { return heap.sample(entry.executor()); });
+    entry.runAll(std::move(calls));
+    CHECK(heap.peak <= callers * bodyBytes + connectionBytes);
+    CHECK(count(statuses, 200) == callers);
+    CHECK(requests == 2 * callers);
+    CHECK(differences == 0);
+    CHECK(entry.state.memory.held() == MemoryHeld {});
+}
