--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -47,6 +47,14 @@
                                                             .Name("godwitfork_entry_endpoint_silences_total")
                                                             .Help("Attempts whose endpoint was silent beyond its limit, by route, action and obstacle")
                                                             .Register(this->registry);
+    prometheus::Family<prometheus::Counter> &memoryRefusals = prometheus::BuildCounter()
+                                                                  .Name("godwitfork_entry_memory_refusals_total")
+                                                                  .Help("Bodies, answers and events that were not held for lack of memory, by use")
+                                                                  .Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &memoryHeld = prometheus::BuildGauge()
+                                                            .Name("godwitfork_entry_memory_held_bytes")
+                                                            .Help("Bytes of requests and answers that are held, by use")
+                                                            .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &trialAnswers = prometheus::BuildGauge()
                                                               .Name("godwitfork_entry_trial_answers")
                                                               .Help("Answers counted for a version under trial, by service, version and result")
@@ -102,6 +110,11 @@
     this->state->silences.Add({{"route", route}, {"action", action}, {"obstacle", obstacle}}).Increment();
 }
 
+void EntryMetrics::recordMemoryRefusal(const char *use)
+{
+    this->state->memoryRefusals.Add({{"use", use}}).Increment();
+}
+
 void EntryMetrics::setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures)
 {
     this->state->trialAnswers.Add({{"service", service}, {"version", version}, {"result", "all"}}).Set(answers);
@@ -116,6 +129,9 @@
     for (const auto &[kind, age] : gauges.copyAgeSeconds) {
         this->state->gauges.Add({{"name", kind + "_copy_age_seconds"}}).Set(age);
     }
+    for (const auto &[use, bytes] : gauges.memoryHeldBytes) {
+        this->state->memoryHeld.Add({{"use", use}}).Set(bytes);
+    }
     this->state->gauges.Add({{"name", "ready"}}).Set(gauges.isReady ? 1 : 0);
     for (const auto &[key, count] : gauges.ignoredItems) {
         this->state->ignoredItems.Add({{"source", key.first}, {"cause", key.second}}).Set(static_cast<double>(count));
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -18,6 +18,8 @@
     double endpoints = 0;
     /// Time since the copy of each catalog kind was last known to match the store, by kind name.
     std::map<std::string, double> copyAgeSeconds;
+    /// Bytes of requests and answers that are held, by use.
+    std::map<std::string, double> memoryHeldBytes;
     bool isReady = false;
     /// Number of items that were not understood since the start, by source and cause.
     std::map<std::pair<std::string, std::string>, std::uint64_t> ignoredItems;
@@ -45,6 +47,8 @@
     /// Counts an attempt whose endpoint was silent beyond its limit; `action` is "cancelled" or "tolerated", `obstacle` what kept the request
     /// from going on elsewhere.
     void recordSilence(const std::string &route, const char *action, const char *obstacle);
+    /// Counts bytes that were not held for lack of memory; `use` as in memoryUseName.
+    void recordMemoryRefusal(const char *use);
     /// Sets the numbers of answers and of failures that this instance has counted for a version under trial.
     void setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures);
     std::string toText(const EntryGauges &gauges);
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Digest.h"
 #include "LibCore/Log.h"
+#include "LibEntry/BodyAdmission.h"
 #include "LibHttp/EventSplitter.h"
 #include "RequestHeaders.h"
 
@@ -31,11 +32,7 @@
 /// Delay after a refusal of an instance that stops. It is short, since another instance takes the request at once.
 constexpr Duration minStoppingDelay = std::chrono::milliseconds(50);
 constexpr Duration maxStoppingDelay = std::chrono::milliseconds(200);
-
-std::string withoutPort(const std::string &host)
-{
-    return host.substr(0, host.find(':'));
-}
+constexpr int notReadyStatus = 503;
 
 std::string errorBody(const std::string &reason)
 {
@@ -105,29 +102,19 @@
 
 Asio::awaitable<bool> RequestRun::checkRequest()
 {
-    if (!this->state.hasLoadedCatalog()) {
-        co_await this->sendOwnAnswer(503, "configuration_not_known", this->retryDelay());
-        co_return false;
-    }
-    if (this->gatewayRequest.id.empty()) {
-        co_await this->sendOwnAnswer(400, "request_id_missing", Duration::zero());
+    const HeadCheck check = checkHead(this->state, this->gatewayRequest);
+    this->route = check.route;
+    this->account = check.account;
+    if (check.refusalStatus != 0) {
+        const Duration retryAfter = check.refusalStatus == notReadyStatus ? this->retryDelay() : Duration::zero();
+        co_await this->sendOwnAnswer(check.refusalStatus, check.refusalReason, retryAfter);
         co_return false;
     }
-    this->route = this->routes->findRoute(this->gatewayRequest.host, this->gatewayRequest.path);
-    if (!this->route) {
-        this->route = this->routes->findRoute(withoutPort(this->gatewayRequest.host), this->gatewayRequest.path);
-    }
-    if (!this->route) {
-        co_await this->sendOwnAnswer(404, "route_not_found", Duration::zero());
+    if (this->exchange.isBodyMissing()) {
+        this->recordMemoryRefusal(MemoryUse::RequestBody);
+        co_await this->sendOwnAnswer(notReadyStatus, "memory_short", this->retryDelay());
         co_return false;
     }
-    if (!this->route->isPublic && !this->routes->configuration().accounts.empty()) {
-        this->account = this->routes->findAccount(this->gatewayRequest.key);
-        if (!this->account) {
-            co_await this->sendOwnAnswer(401, "key_not_known", Duration::zero());
-            co_return false;
-        }
-    }
     co_return true;
 }
 
@@ -341,6 +328,7 @@
         this->currentAttempt->plainAnswer = limit;
     }
     HttpCallOptions options = this->callOptions(remaining);
+    options.sharedBody = this->exchange.sharedBody();
     HttpRequest request = Platform::makeEndpointRequest(this->exchange.request(), headers);
     this->stalled = false;
     const std::shared_ptr<bool> ended =
