--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -244,7 +244,9 @@
 {
     nlohmann::ordered_json fields {{"requests", this->state.requests.count()},
                                    {"open_connections", this->callers.openConnections()},
-                                   {"unread_connections", this->callers.connectionsWithUnreadBytes()}};
+                                   {"unread_connections", this->callers.connectionsWithUnreadBytes()},
+                                   {"refused_late", this->state.stopCounts.refusedLate},
+                                   {"interrupted", this->state.stopCounts.interrupted}};
     if (this->state.stop) {
         const MonotonicTime now = monotonicNow();
         fields["elapsed_ms"] = toMilliseconds(now - this->state.stop->began);
@@ -269,6 +271,7 @@
 void EntryService::interruptRequests(bool isWithAnswer)
 {
     const int interrupted = this->state.requests.interrupt(isWithAnswer);
+    this->state.stopCounts.interrupted += interrupted;
     if (interrupted > 0) {
         logEvent(LogLevel::Warning, "stop.interrupt", {{"interrupted", interrupted}, {"with_answer", isWithAnswer}});
     }
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -25,6 +25,14 @@
 namespace Godwitfork
 {
 
+/// Requests that a stop of the process refused or ended.
+struct StopCounts {
+    int refusedLate = 0;
+    int interrupted = 0;
+
+    auto operator<=>(const StopCounts &) const = default;
+};
+
 /// Routing state of one entry process. Not thread-safe: accessed only by the process's single thread.
 struct EntryState {
     explicit EntryState(EntrySettings settings);
@@ -58,6 +66,7 @@
     RequestsInProgress requests;
     /// Times of the stop of the process; empty before it.
     std::optional<StopSchedule> stop;
+    StopCounts stopCounts;
 
     /// Whether the configuration, endpoints and roll-outs have all been read from the store.
     bool hasLoadedCatalog() const;
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -141,6 +141,7 @@
         co_return true;
     }
     this->isRefusedLate = true;
+    ++this->state.stopCounts.refusedLate;
     std::uniform_int_distribution<std::int64_t> delay(minStoppingDelay.count(), maxStoppingDelay.count());
     co_await this->sendOwnAnswer(503, "instance_stopping", Duration(delay(this->state.random)));
     co_return false;
