Don't start the stall watch of an attempt that has ended

The watch starts with the next turn of the event loop. An attempt that ends without waiting for anything, for example at an address that is not an IP address, could have ended its request by then, and the watch read the request's members. Found by reading; no test fails before.

--- a/Libraries/LibEntry/RequestRunStall.cpp
+++ b/Libraries/LibEntry/RequestRunStall.cpp
@@ -19,13 +19,13 @@
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(200);
 } // namespace
 
-// Capturing `this` is safe: the flag is set before the attempt ends, and this object outlives the attempt.
+// `this` is used only while the flag is not set: it is set before the attempt ends, and this object outlives the attempt.
 std::shared_ptr<bool> RequestRun::watchForStall()
 {
     auto ended = std::make_shared<bool>(false);
-    auto watch = [this, ended]() -> Asio::awaitable<void> {
-        Asio::steady_timer timer(this->context.context);
-        while (true) {
+    auto watch = [this, ended, &context = this->context.context]() -> Asio::awaitable<void> {
+        Asio::steady_timer timer(context);
+        while (!*ended) {
             timer.expires_after(this->timeToStallCheck());
             boost::system::error_code ignored;
             co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
