Hold answers and partial events within the memory

Callers saw: endpoints that send bytes without end made an instance hold up to 4 MiB for each plain answer and 1 MiB for each event, twice while a buffer grows; the process was ended, with the requests of other callers.

The bytes of plain answers and of events that the caller has not taken yet are reserved in the same account as the bodies. An answer without room ends its attempt (memory_short; no evidence against the endpoint or its version), is logged and counted. Unparsed bytes are 32 KiB for each connection now (128 KiB).

The new test sends 100 answers without end at once (heads, plain bodies, chunk extensions, events; fast, or silent after a part; with and without a caller's deadline).

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -34,6 +34,7 @@
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
 constexpr int notReadyStatus = 503;
+constexpr const char *memoryShort = "memory_short";
 
 std::string errorBody(const std::string &reason)
 {
@@ -62,6 +63,9 @@
 
 EndpointResult endpointResult(const AttemptOutcome &outcome)
 {
+    if (outcome.isMemoryShort) {
+        return EndpointResult::Ended;
+    }
     switch (outcome.end) {
     case AttemptEnd::NotSent:
     case AttemptEnd::TimedOut:
@@ -117,7 +121,7 @@
     }
     if (this->exchange.isBodyMissing()) {
         this->recordMemoryRefusal(MemoryUse::RequestBody);
-        co_await this->sendOwnAnswer(notReadyStatus, "memory_short", this->retryDelay());
+        co_await this->sendOwnAnswer(notReadyStatus, memoryShort, this->retryDelay());
         co_return false;
     }
     co_return true;
@@ -392,12 +396,14 @@
         if (end == RelayEnd::Broken) {
             outcome.end = AttemptEnd::Lost;
             outcome.isConnectionLost = this->currentAttempt->isConnectionLost;
+            outcome.isMemoryShort = this->currentAttempt->isMemoryShort;
         }
         co_return outcome;
     }
     BufferedAnswer answer;
     answer.status = stream->status();
     answer.headers = Platform::callerAnswerHeaders(stream->headers());
+    answer.memory = this->openMemory(MemoryUse::Answer);
     while (true) {
         // An endpoint that sends one byte at a time must not hold the request beyond its deadline.
         stream->setIdleTimeout(this->remaining());
@@ -411,6 +417,13 @@
         if (bytes.value().empty()) {
             break;
         }
+        if (!this->growAnswer(answer, bytes.value().size())) {
+            this->recordMemoryRefusal(MemoryUse::Answer);
+            outcome.end = AttemptEnd::Lost;
+            outcome.isMemoryShort = true;
+            this->reason = memoryShort;
+            co_return outcome;
+        }
         answer.body += bytes.value();
     }
     this->firstOutputAt = monotonicNow();
@@ -423,9 +436,30 @@
     co_return outcome;
 }
 
+// Both copies are held while the bytes move.
+bool RequestRun::growAnswer(BufferedAnswer &answer, std::size_t bytes) const
+{
+    const std::size_t needed = answer.body.size() + bytes;
+    if (needed <= answer.body.capacity()) {
+        return true;
+    }
+    const std::size_t capacity = std::max(needed, 2 * answer.body.capacity());
+    if (!answer.memory.resize(answer.body.size() + capacity)) {
+        return false;
+    }
+    answer.body.reserve(capacity);
+    return answer.memory.resize(capacity);
+}
+
+MemoryReservation RequestRun::openMemory(MemoryUse use) const
+{
+    return this->state.memory.open(use, this->account ? this->account->name : std::string());
+}
+
 Asio::awaitable<RequestRun::RelayEnd> RequestRun::relay(HttpResponseStream &stream)
 {
     EventSplitter splitter;
+    MemoryReservation memory = this->openMemory(MemoryUse::PartialEvent);
     std::int64_t events = 0;
     MonotonicTime firstEventAt;
     bool isFirst = true;
@@ -456,6 +490,17 @@
             this->reason = complete.error().code;
             co_return RelayEnd::Broken;
         }
+        // Complete events are held until the caller has taken them.
+        std::size_t heldBytes = splitter.heldBytes();
+        for (const RawEvent &event : complete.value()) {
+            heldBytes += event.bytes.size();
+        }
+        if (!memory.resize(heldBytes)) {
+            this->recordMemoryRefusal(MemoryUse::PartialEvent);
+            this->currentAttempt->isMemoryShort = true;
+            this->reason = memoryShort;
+            co_return RelayEnd::Broken;
+        }
         if (!complete.value().empty()) {
             this->currentAttempt->lastEventAt = monotonicNow();
             this->state.chooser.loads().recordOutput(this->currentAttempt->choice.endpoint.id, this->currentAttempt->lastEventAt);
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -50,6 +50,8 @@
     bool isTimeRecorded = false;
     /// Whether the endpoint closed or reset the connection before the answer was complete.
     bool isConnectionLost = false;
+    /// Whether this instance could not hold the answer.
+    bool isMemoryShort = false;
 };
 
 /// Serves one request of a caller: validates it, tries endpoints, and sends the answer.
@@ -66,6 +68,7 @@
         int status = 0;
         HttpHeaders headers;
         std::string body;
+        MemoryReservation memory;
     };
 
     enum class RelayEnd { Complete, CallerGone, Broken };
@@ -111,6 +114,9 @@
     void recordAnnouncement(const EndpointAnnouncement &announcement);
     /// Records an endpoint that was lost before it had output for this request's prompt.
     void recordPromptCrash(const AttemptOutcome &outcome);
+    /// Makes room for `bytes` more of an answer. Returns false if this instance may not hold them now.
+    bool growAnswer(BufferedAnswer &answer, std::size_t bytes) const;
+    MemoryReservation openMemory(MemoryUse use) const;
     /// Counts and logs bytes that this instance may not hold now.
     void recordMemoryRefusal(MemoryUse use);
     boost::asio::awaitable<void> refuseQuarantined(QuarantinedPart part);
--- a/Libraries/LibEntry/RequestRunEvidence.cpp
+++ b/Libraries/LibEntry/RequestRunEvidence.cpp
@@ -74,6 +74,9 @@
     if (outcome.end == AttemptEnd::Answered && isSuccess(outcome.answer)) {
         this->recordVersionTime();
     }
+    if (outcome.isMemoryShort) {
+        return;
+    }
     AnswerObservation answer = this->versionAnswer();
     answer.isFailure = outcome.end != AttemptEnd::Answered || !isSuccess(outcome.answer);
     if (!this->currentAttempt->isAnswerRecorded) {
--- a/Libraries/LibGateway/AttemptRules.h
+++ b/Libraries/LibGateway/AttemptRules.h
@@ -25,6 +25,8 @@
     AnswerMetadata answer;
     /// Whether the connection was closed or reset before the answer was complete.
     bool isConnectionLost = false;
+    /// Whether this instance ended the attempt because it could not hold the answer; no evidence of the endpoint's health.
+    bool isMemoryShort = false;
 
     auto operator<=>(const AttemptOutcome &) const = default;
 };
--- a/Libraries/LibHttp/EventSplitter.cpp
+++ b/Libraries/LibHttp/EventSplitter.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 constexpr std::size_t maxEventBytes = std::size_t {1024} * 1024;
+/// A larger buffer is released after its event.
+constexpr std::size_t keptBufferBytes = std::size_t {16} * 1024;
 
 std::optional<std::int64_t> eventId(std::string_view event)
 {
@@ -52,12 +54,20 @@
         rest.remove_prefix(length);
     }
     this->buffer.erase(0, this->buffer.size() - rest.size());
+    if (this->buffer.empty() && this->buffer.capacity() > keptBufferBytes) {
+        this->buffer = std::string();
+    }
     if (this->buffer.size() > maxEventBytes) {
         return Error {"event_too_large", "an event exceeds 1 MiB"};
     }
     return events;
 }
 
+std::size_t EventSplitter::heldBytes() const
+{
+    return this->buffer.capacity();
+}
+
 bool EventSplitter::hasPartialEvent() const
 {
     return !this->buffer.empty();
--- a/Libraries/LibHttp/EventSplitter.h
+++ b/Libraries/LibHttp/EventSplitter.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Error.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,6 +30,8 @@
     ErrorOr<std::vector<RawEvent>> feed(std::string_view bytes);
     /// Whether the buffer holds bytes of an incomplete event.
     bool hasPartialEvent() const;
+    /// Memory of the incomplete event in bytes.
+    std::size_t heldBytes() const;
 
 private:
     std::string buffer;
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -27,8 +27,8 @@
 namespace
 {
 constexpr std::size_t readBufferBytes = 16 * 1024;
-/// Bytes received and not parsed yet. More than one read, so that a full read after an incomplete element does not exceed it.
-constexpr std::size_t maxBufferedBytes = std::size_t {128} * 1024;
+/// Bytes received and not parsed yet: a few times the longest head, small enough for hundreds of peers that never end an element.
+constexpr std::size_t maxBufferedBytes = std::size_t {32} * 1024;
 constexpr std::size_t maxIdleConnectionsPerAddress = 256;
 /// Shorter than the idle timeout of HttpServer, 75 s, so that the server does not close a connection just when it is
 /// reused.
--- a/Tests/LibEntry/TestMemoryOfRequests.cpp
+++ b/Tests/LibEntry/TestMemoryOfRequests.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 
 using namespace Godwitfork;
 using namespace std::chrono_literals;
@@ -248,3 +249,92 @@
     CHECK(differences == 0);
     CHECK(entry.state.memory.held() == MemoryHeld {});
 }
+
+// Guards against endpoints that send bytes without end until the instance is ended for its memory, with the requests of other callers.
+TEST_CASE("Many answers without end at once stay within the memory, and other callers are served", "[memory]")
+{
+    struct Endless {
+        std::string name;
+        RepeatRule rule;
+        std::string beginning;
+        std::string repeated;
+        /// Bytes after which the endpoint stays silent.
+        std::size_t silentAfter;
+    };
+    constexpr std::size_t never = std::size_t {1} << 40;
+    constexpr int callers = 100;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string chunk = "ff00\r\n" + std::string(0xff00, 'x') + "\r\n";
+    const std::vector<Endless> answers = {
+        {"head", RepeatRule::NonIdempotent, "HTTP/1.1 200 OK\r\nX-Long: ", std::string(4096, 'x'), never},
+        {"head, then silence", RepeatRule::NonIdempotent, "HTTP/1.1 200 OK\r\nX-Long: ", std::string(500, 'x'), 7000},
+        {"plain body", RepeatRule::NonIdempotent, "HTTP/1.1 200 OK\r\n\r\n", std::string(65536, 'x'), never},
+        {"plain body, then silence", RepeatRule::NonIdempotent, "HTTP/1.1 200 OK\r\n\r\n", std::string(65536, 'x'), 3'000'000},
+        {"chunk extension", RepeatRule::NonIdempotent, chunked + "5;", std::string(4096, 'x'), never},
+        {"chunk extension, then silence", RepeatRule::NonIdempotent, chunked + "5;", std::string(1000, 'x'), 100'000},
+        {"event", RepeatRule::ResumableStream, chunked, chunk, never},
+        {"event, then silence", RepeatRule::ResumableStream, chunked, chunk, 900'000},
+    };
+    for (const bool hasDeadline : {true, false}) {
+        for (const Endless &endless : answers) {
+            INFO(endless.name << (hasDeadline ? ", with a deadline" : ", without a deadline"));
+            EntryFixture entry;
+            Route route = makeRoute(endless.rule, 2);
+            route.timeout = hasDeadline ? 5s : 1s;
+            entry.setRoute(route);
+            // Both endpoints serve the other callers.
+            for (const char *id : {"e1", "e2"}) {
+                entry.addRawEndpoint(id, [&](Tcp::socket &socket) -> awaitable<void> {
+                    const std::string head = co_await readHead(socket);
+                    boost::system::error_code error;
+                    if (head.find("/a/flood") == std::string::npos) {
+                        const std::string answer = soundAnswer(head);
+                        co_await Asio::async_write(socket, Asio::buffer(answer), Asio::redirect_error(Asio::use_awaitable, error));
+                        co_return;
+                    }
+                    co_await Asio::async_write(socket, Asio::buffer(endless.beginning), Asio::redirect_error(Asio::use_awaitable, error));
+                    for (std::size_t sent = 0; !error && sent < endless.silentAfter; sent += endless.repeated.size()) {
+                        co_await Asio::async_write(socket, Asio::buffer(endless.repeated), Asio::redirect_error(Asio::use_awaitable, error));
+                    }
+                    char byte = 0;
+                    while (!error) {
+                        co_await socket.async_read_some(Asio::buffer(&byte, 1), Asio::redirect_error(Asio::use_awaitable, error));
+                    }
+                });
+            }
+            Statuses flooded;
+            Statuses others;
+            HeapPeak heap;
+            int running = callers;
+            std::vector<std::function<awaitable<void>()>> calls;
+            for (int i = 0; i < callers; ++i) {
+                calls.push_back([&, i]() -> awaitable<void> {
+                    Call request;
+                    request.target = "/a/flood";
+                    request.id = "flood-" + std::to_string(i);
+                    request.headers = hasDeadline ? "X-Deadline-Ms: 1000\r\n" : "";
+                    co_await call(entry, request, flooded);
+                    heap.isStopping = --running == 0;
+                });
+            }
+            // Callers with plain answers; a stream's sound answer would have to be one, too.
+            calls.push_back([&]() -> awaitable<void> {
+                for (int i = 0; running > 0 && endless.rule == RepeatRule::NonIdempotent; ++i) {
+                    Call request;
+                    request.id = "other-" + std::to_string(i);
+                    request.headers = "X-Deadline-Ms: 1000\r\n";
+                    co_await call(entry, request, others);
+                    Asio::steady_timer timer(entry.executor(), 20ms);
+                    co_await timer.async_wait(Asio::use_awaitable);
+                }
+            });
+            calls.push_back([&] { return heap.sample(entry.executor()); });
+            entry.runAll(std::move(calls));
+            UNSCOPED_INFO("heap " << heap.peak << ", others " << count(others, 200));
+            CHECK(heap.peak <= maxHeapBytes);
+            CHECK(count(flooded, 0) == 0);
+            CHECK(count(others, 200) == std::accumulate(others.begin(), others.end(), 0, [](int sum, const auto &entry) { return sum + entry.second; }));
+            CHECK(entry.state.memory.held() == MemoryHeld {});
+        }
+    }
+}
