Close idle connections to addresses that are not called again

A connection in the client's pool was closed only when its address was called again, so each endpoint that had gone left its idle connections, and their descriptors, behind. Connections that expired are now searched over all addresses, once a second at most, when a connection is taken.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -33,6 +33,8 @@
 /// Shorter than the idle timeout of HttpServer, 75 s, so that the server does not close a connection just when it is
 /// reused.
 constexpr Duration maxPooledIdleTime = std::chrono::seconds(20);
+/// Time between two searches for connections that expired.
+constexpr Duration expiryInterval = std::chrono::seconds(1);
 /// Subtracted from the keep-alive timeout that the peer announces, since the peer starts its timer earlier than this client.
 constexpr Duration keepAliveMargin = std::chrono::seconds(1);
 /// Responses to earlier requests that one call skips; the call fails if more follow.
@@ -71,14 +73,30 @@
     }
 
     SharedStream takePooled(const HttpAddress &address);
+    /// Closes connections that expired, also to addresses that are not called any more.
+    void closeExpired(MonotonicTime now);
     void returnToPool(const HttpAddress &address, SharedStream stream, Duration keepAliveTime);
 
     Asio::io_context &context;
     std::map<HttpAddress, std::vector<PooledConnection>> pool;
+    MonotonicTime nextExpiry;
 };
 
+void HttpClient::State::closeExpired(MonotonicTime now)
+{
+    if (now < this->nextExpiry) {
+        return;
+    }
+    this->nextExpiry = now + expiryInterval;
+    for (auto entry = this->pool.begin(); entry != this->pool.end();) {
+        std::erase_if(entry->second, [now](const PooledConnection &connection) { return now > connection.expires; });
+        entry = entry->second.empty() ? this->pool.erase(entry) : std::next(entry);
+    }
+}
+
 SharedStream HttpClient::State::takePooled(const HttpAddress &address)
 {
+    this->closeExpired(monotonicNow());
     std::vector<PooledConnection> &connections = this->pool[address];
     while (!connections.empty()) {
         PooledConnection connection = std::move(connections.back());
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -223,3 +223,29 @@
     };
     run(context, calls, 0ms);
 }
+
+// Guards against descriptors that are kept for endpoints that are gone.
+TEST_CASE("Idle connections to addresses that are not called again are closed", "[client]")
+{
+    Asio::io_context context;
+    const std::string answer = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 4\r\n\r\nbody";
+    std::vector<std::unique_ptr<FloodServer>> servers;
+    for (int i = 0; i < 20; ++i) {
+        servers.push_back(std::make_unique<FloodServer>(context, EndlessAnswer {"idle", answer, "x"}, Pace::OneByte));
+    }
+    HttpClient client(context);
+    const auto calls = [&]() -> Asio::awaitable<void> {
+        for (const auto &server : servers) {
+            const auto result = co_await client.call(server->address(), makeRequest("GET", "/"), limitedOptions());
+            CHECK(result.has_value());
+        }
+    };
+    run(context, calls, 2500ms);
+    const auto later = [&]() -> Asio::awaitable<void> { co_await client.call(servers.back()->address(), makeRequest("GET", "/"), limitedOptions()); };
+    run(context, later, 200ms);
+    int open = 0;
+    for (const auto &server : servers) {
+        open += server->openConnections;
+    }
+    CHECK(open <= 1);
+}
