--- a/Tests/Soak/EntryFleet.cpp
+++ b/Tests/Soak/EntryFleet.cpp
@@ -170,6 +170,14 @@
     this->planned.push_back({WorkKind::Reload, index, monotonicNow()});
 }
 
+void EntryFleet::sendSignal(int index, int signal)
+{
+    Instance &instance = this->instances[static_cast<std::size_t>(index)];
+    if (instance.process->isRunning()) {
+        instance.process->sendSignal(signal);
+    }
+}
+
 Asio::awaitable<void> EntryFleet::startProcess(int index)
 {
     Instance &instance = this->instances[static_cast<std::size_t>(index)];
--- a/Tests/Soak/EntryFleet.h
+++ b/Tests/Soak/EntryFleet.h
@@ -50,6 +50,8 @@
     boost::asio::awaitable<void> replace(int instance, Freeze freeze);
     /// Changes the retry allowance in the settings file and sends SIGHUP.
     void reload(int instance, int allowance);
+    /// Sends a further signal to the instance's process, which may be stopping.
+    void sendSignal(int instance, int signal);
     const std::vector<PlannedWork> &works() const;
     const std::vector<Disruption> &disruptions() const;
     void addWork(PlannedWork work);
--- a/Tests/Soak/TestPlannedWork.cpp
+++ b/Tests/Soak/TestPlannedWork.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <sstream>
@@ -174,7 +175,10 @@
     };
     switch (random() % 8) {
     case 0:
+        // Two signals in a row.
         run.replace(instance);
+        run.fleet().sendSignal(instance, random() % 2 == 0 ? SIGTERM : SIGHUP);
+        run.burst(instance, 20, 3s);
         break;
     case 1:
         run.replace(instance);
