Hold the events that wait for a slow caller once, and begin no larger model after an interrupt

The events are joined by a function that takes them, and the count shrinks after the write. An escalation that began after the interrupt at the end of a stop was never interrupted again.

The escalation was found by reading; no test shows it.

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -263,7 +263,8 @@
     this->modelSelection.recordAnswer(answer);
     // An escalation executes the request once more and adds one arrival at the service, so it counts against both limits.
     const bool mayRunAgain = mayRepeat(this->route->repeatRule) && this->progress.possibleRuns + 1 < this->progress.attemptLimit;
-    if (this->answerStarted || !answer.confidence || !mayRunAgain || !this->retryMeans(this->candidates(this->hasFailedOnCandidate)).hasBudget) {
+    if (this->answerStarted || this->caller->interrupted || !answer.confidence || !mayRunAgain
+        || !this->retryMeans(this->candidates(this->hasFailedOnCandidate)).hasBudget) {
         return false;
     }
     this->isEscalating = this->modelSelection.escalate(this->selectionInputs());
@@ -487,7 +488,6 @@
             this->currentAttempt->waitingSince = monotonicNow();
             this->state.chooser.loads().recordOutput(this->currentAttempt->choice.endpoint.id, this->currentAttempt->waitingSince);
         }
-        std::string output;
         events += static_cast<std::int64_t>(complete.value().size());
         this->currentAttempt->events = events;
         if (events > 0) {
@@ -496,15 +496,7 @@
         if (events >= timedEvents) {
             this->recordVersionTime();
         }
-        for (const RawEvent &event : complete.value()) {
-            if (event.id && this->lastEventId && *event.id <= *this->lastEventId) {
-                continue;
-            }
-            output += event.bytes;
-            if (event.id) {
-                this->lastEventId = event.id;
-            }
-        }
+        std::string output = this->joinNewEvents(std::move(complete).value());
         if (output.empty()) {
             continue;
         }
@@ -524,6 +516,7 @@
         const bool isWritten = co_await this->exchange.writeChunk(std::move(output));
         this->currentAttempt->isWritingToCaller = false;
         this->currentAttempt->waitingSince = monotonicNow();
+        memory.resize(splitter.heldBytes());
         if (!isWritten) {
             this->caller->gone = true;
             co_return RelayEnd::CallerGone;
@@ -531,6 +524,22 @@
     }
 }
 
+// Takes the events by value, so that they are not held beside the output while a slow caller reads it.
+std::string RequestRun::joinNewEvents(std::vector<RawEvent> events)
+{
+    std::string output;
+    for (const RawEvent &event : events) {
+        if (event.id && this->lastEventId && *event.id <= *this->lastEventId) {
+            continue;
+        }
+        output += event.bytes;
+        if (event.id) {
+            this->lastEventId = event.id;
+        }
+    }
+    return output;
+}
+
 // A stream without length and chunks ends with its connection, which also closes if the endpoint crashes. Without a single event, unless it was
 // resumed after its last one, it was broken off.
 bool RequestRun::isStreamWhole(const HttpResponseStream &stream, bool hasPartialEvent, std::int64_t events) const
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -5,6 +5,7 @@
 #include "LibEntry/ModelSelection.h"
 #include "LibGateway/AttemptRules.h"
 #include "LibGateway/StallRules.h"
+#include "LibHttp/EventSplitter.h"
 #include "LibHttp/HttpClient.h"
 #include "LibHttp/HttpServer.h"
 
@@ -131,6 +132,8 @@
     /// Counts and logs bytes that this instance may not hold now.
     void recordMemoryRefusal(MemoryUse use);
     boost::asio::awaitable<void> refuseQuarantined(QuarantinedPart part);
+    /// Joins the events that the caller has not got from an earlier attempt, and remembers the last one.
+    std::string joinNewEvents(std::vector<RawEvent> events);
     bool isStreamWhole(const HttpResponseStream &stream, bool hasPartialEvent, std::int64_t events) const;
     HttpCallOptions callOptions(Duration limit);
     /// Time that the request may take from its start.
--- a/Tests/LibEntry/TestMemoryOfRequests.cpp
+++ b/Tests/LibEntry/TestMemoryOfRequests.cpp
@@ -338,3 +338,50 @@
         }
     }
 }
+
+// Guards against events that are held twice while callers read slowly, once more than the memory counts.
+TEST_CASE("Whole events that wait for slow callers take the memory that they count", "[memory]")
+{
+    constexpr int callers = 8;
+    constexpr double countedShare = 0.8;
+    EntryFixture entry;
+    Route route = makeRoute(RepeatRule::Stream, 1);
+    route.timeout = 6s;
+    entry.setRoute(route);
+    const std::string event = "data: " + std::string(1'000'000, 'x') + "\n\n";
+    entry.addRawEndpoint("e1", [&](Tcp::socket &socket) -> awaitable<void> {
+        const std::string head = co_await readHead(socket);
+        boost::system::error_code error;
+        const std::string begin = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\r\n";
+        co_await Asio::async_write(socket, Asio::buffer(begin), Asio::redirect_error(Asio::use_awaitable, error));
+        while (!error) {
+            co_await Asio::async_write(socket, Asio::buffer(event), Asio::redirect_error(Asio::use_awaitable, error));
+        }
+    });
+    HeapPeak heap;
+    std::size_t counted = 0;
+    int running = callers;
+    std::vector<std::function<awaitable<void>()>> calls;
+    for (int i = 0; i < callers; ++i) {
+        calls.push_back([&, i]() -> awaitable<void> {
+            Tcp::socket socket(entry.executor(), Tcp::v4());
+            socket.set_option(Asio::socket_base::receive_buffer_size(4096));
+            const Tcp::endpoint address(Asio::ip::make_address("127.0.0.1"), entry.routerAddress().port);
+            co_await socket.async_connect(address, Asio::use_awaitable);
+            const std::string head =
+                "POST /a/b HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: s" + std::to_string(i) + "\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
+            co_await Asio::async_write(socket, Asio::buffer(head), Asio::use_awaitable);
+            Asio::steady_timer timer(entry.executor());
+            for (const MonotonicTime end = monotonicNow() + 4s; monotonicNow() < end;) {
+                counted = std::max(counted, entry.state.memory.held().total);
+                timer.expires_after(5ms);
+                co_await timer.async_wait(Asio::use_awaitable);
+            }
+            heap.isStopping = --running == 0;
+        });
+    }
+    calls.push_back([&] { return heap.sample(entry.executor()); });
+    entry.runAll(std::move(calls));
+    CHECK(counted > callers * event.size());
+    CHECK(static_cast<double>(counted) > countedShare * static_cast<double>(heap.peak));
+}
