Let the router end only when its connections have had their answers

Callers of the router (the product's own interface) saw connections closed without an answer in a planned stop: it waited for requests in progress alone, so a connection that it had accepted and whose request was still arriving, and an answer that was still leaving, ended with the process. The stop waits for open connections too, within its limit.

What is in progress at the stop limit is still cut without an answer there.

--- a/Services/Router/Router.cpp
+++ b/Services/Router/Router.cpp
@@ -81,6 +81,15 @@
     co_await timer.async_wait(Asio::use_awaitable);
 }
 
+int Router::openConnections()
+{
+    int connections = 0;
+    for (auto &thread : this->trafficThreads) {
+        connections += thread->openConnections();
+    }
+    return connections;
+}
+
 Asio::awaitable<void> Router::stopGracefully()
 {
     logEvent(LogLevel::Info, "stop.started", {{"active_requests", this->status.activeRequests()}});
@@ -92,7 +101,8 @@
         thread->postStopListening();
     }
     const MonotonicTime deadline = monotonicNow() + this->settings.stopLimit;
-    while (this->status.activeRequests() > 0 && monotonicNow() < deadline) {
+    // A connection is open until its request has arrived and its answer has left.
+    while ((this->status.activeRequests() > 0 || this->openConnections() > 0) && monotonicNow() < deadline) {
         co_await this->sleep(stopPollInterval);
     }
     if (this->administration) {
--- a/Services/Router/Router.h
+++ b/Services/Router/Router.h
@@ -26,6 +26,7 @@
 
 private:
     std::string administrationAddress() const;
+    int openConnections();
     boost::asio::awaitable<void> stopGracefully();
     boost::asio::awaitable<void> sleep(Duration duration);
 
--- a/Services/Router/TrafficThread.cpp
+++ b/Services/Router/TrafficThread.cpp
@@ -1,6 +1,7 @@
 #include "TrafficThread.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
 
 namespace Godwitfork
 {
@@ -66,6 +67,11 @@
     boost::asio::post(this->worker.context, [this] { this->server.stop(); });
 }
 
+int TrafficThread::openConnections()
+{
+    return boost::asio::post(this->worker.context, boost::asio::use_future([this] { return this->server.openConnections(); })).get();
+}
+
 void TrafficThread::join()
 {
     this->worker.context.stop();
--- a/Services/Router/TrafficThread.h
+++ b/Services/Router/TrafficThread.h
@@ -26,6 +26,8 @@
     void postSnapshot(SnapshotPointer snapshot);
     /// Makes the thread close its listener and idle connections. Thread-safe.
     void postStopListening();
+    /// Open connections of the thread's server. Thread-safe; waits until the thread has answered.
+    int openConnections();
     /// Stops the event loop and waits for the thread to end.
     void join();
 
--- a/Tests/Integration/TestWholePath.cpp
+++ b/Tests/Integration/TestWholePath.cpp
@@ -1,5 +1,10 @@
 #include "Deployment.h"
 
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -107,6 +112,33 @@
     CHECK(deployment.billingRecords().size() == 1);
 }
 
+// Guards against a router that ends while a connection that it has accepted sends its request.
+TEST_CASE("A request that arrives just after the listener has closed is answered before the router ends")
+{
+    using Tcp = boost::asio::ip::tcp;
+    Deployment deployment;
+    deployment.addRouter("router-1");
+    REQUIRE(deployment.waitForRevision(deployment.apply()));
+    boost::asio::io_context context;
+    const HttpAddress address = deployment.router(0);
+    const Tcp::endpoint listener(boost::asio::ip::make_address(address.host), address.port);
+    Tcp::socket connection(context);
+    connection.connect(listener);
+    deployment.routerProcess(0).sendSignal(SIGTERM);
+    REQUIRE(waitUntil([&] {
+        boost::system::error_code error;
+        Tcp::socket probe(context);
+        probe.connect(listener, error);
+        return error.failed();
+    }));
+    boost::system::error_code error;
+    boost::asio::write(connection, boost::asio::buffer(std::string_view("GET / HTTP/1.1\r\nHost: h\r\n\r\n")), error);
+    std::string answer;
+    boost::asio::read(connection, boost::asio::dynamic_buffer(answer), error);
+    CHECK(answer.starts_with("HTTP/1.1 "));
+    CHECK(deployment.routerProcess(0).wait() == 0);
+}
+
 // Guards against a request that runs on a version that was withdrawn before it arrived.
 TEST_CASE("A withdrawn version gets no new request")
 {
