--- a/Tests/Soak/TestPlannedWork.cpp
+++ b/Tests/Soak/TestPlannedWork.cpp
@@ -58,7 +58,7 @@
 // Guards against requests whose connection a stopping instance closes with their bytes unread, where instances share a core.
 TEST_CASE("Instances that share a core lose no request around their stop", "[work]")
 {
-    for (const std::uint64_t seed : seeds({1, 2})) {
+    for (const std::uint64_t seed : seeds({2})) {
         PlannedWorkSettings settings;
         settings.cores = 1;
         settings.busyThreads = 24;
@@ -84,7 +84,7 @@
 // Guards against the same without load: the process gets no processor time just when its listener closes.
 TEST_CASE("An instance that reads late loses no request when its listener closes", "[work]")
 {
-    for (const std::uint64_t seed : seeds({1, 2})) {
+    for (const std::uint64_t seed : seeds({2})) {
         PlannedWorkSettings settings;
         settings.manners.slow = 0.2;
         PlannedWorkRun run(seed, settings);
@@ -106,7 +106,7 @@
 // Guards against requests that a stopping instance takes, passes on and cuts at the end of its stop limit.
 TEST_CASE("Requests that arrive late in a stop are answered before its end", "[work]")
 {
-    for (const std::uint64_t seed : seeds({1, 2})) {
+    for (const std::uint64_t seed : seeds({2})) {
         PlannedWorkSettings settings;
         settings.slowSenders = 0.6;
         settings.manners = {.pausing = 0.5, .pauseMin = 1200ms, .pauseMax = 3500ms, .slow = 0.3};
@@ -129,7 +129,7 @@
 // Guards against streams that are ended for an endpoint's silence right after SIGHUP or during a stop, though they can't go on elsewhere.
 TEST_CASE("The silence of endpoints ends no stream beside a reload or a stop", "[work]")
 {
-    for (const std::uint64_t seed : seeds({1, 2})) {
+    for (const std::uint64_t seed : seeds({2})) {
         PlannedWorkSettings settings;
         // Either both endpoints fall silent one after the other, so that a stream finds no third one, or most fall silent at once, so that more streams need a
         // retry than the settings of the SIGHUP allow.
