--- a/Tests/Soak/TestPlannedWork.cpp
+++ b/Tests/Soak/TestPlannedWork.cpp
@@ -50,8 +50,8 @@
     }
     CHECK(losses.empty());
     CHECK(unanswered.size() <= 3);
-    // A fleet that refuses everything loses nothing either.
-    CHECK(served > 0);
+    // Without endpoints, or without readiness, nothing could be lost.
+    CHECK(served * 2 > static_cast<int>(records.size()));
 }
 } // namespace
 
