Add the settings that switch on cold starts, evacuations, learned capacity and overload control

The platform's list of contracts is translated in platform/Contracts; a deployment without the contract for pools keeps both switches off.

--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -1,5 +1,6 @@
 #include "LibEntry/EntrySettings.h"
 
+#include "Contracts.h"
 #include "LibSettings/CommonSettings.h"
 
 #include <sstream>
@@ -47,6 +48,36 @@
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(readFraction(reader, key, fallback, minimum, maximum)));
 }
+
+/// Reads a list of `failure domain=region`.
+std::map<std::string, std::string> readDomainRegions(SettingsReader &reader)
+{
+    std::map<std::string, std::string> regions;
+    for (const std::string &text : reader.texts("domain_regions")) {
+        const std::size_t separator = text.find('=');
+        if (separator == std::string::npos || separator == 0 || separator + 1 == text.size()) {
+            reader.addFinding("domain_regions", "'" + text + "' is not a failure domain, '=' and a region");
+        } else {
+            regions[text.substr(0, separator)] = text.substr(separator + 1);
+        }
+    }
+    return regions;
+}
+
+bool readSwitch(SettingsReader &reader, const std::string &key, bool fallback)
+{
+    const std::string text = reader.text(key, fallback ? "on" : "off");
+    if (text != "on" && text != "off") {
+        reader.addFinding(key, "must be 'on' or 'off'");
+        return fallback;
+    }
+    return text == "on";
+}
+
+const char *switchText(bool isOn)
+{
+    return isOn ? "on" : "off";
+}
 } // namespace
 
 EntrySettings parseEntrySettings(const std::string &file, const std::string &text, Findings &findings)
@@ -76,6 +107,13 @@
     settings.drainLimit = reader.milliseconds("drain_limit_ms", 5000, 500, 600'000);
     settings.configurationLimit = reader.milliseconds("configuration_limit_ms", 5000, 500, 600'000);
     settings.sessionLifetime = readSeconds(reader, "session_lifetime_s", 5, 0, 86'400);
+    const Platform::DeploymentNeeds needs = Platform::readContracts(reader.texts("contracts"));
+    settings.coldOverage = readFraction(reader, "cold_overage", settings.coldOverage, 0, 1000);
+    settings.coldTolerance = readFraction(reader, "cold_tolerance", settings.coldTolerance, 0, 1'000'000);
+    settings.evacuationLimit = reader.milliseconds("evacuation_limit_ms", 0, 0, 600'000);
+    settings.domainRegions = readDomainRegions(reader);
+    settings.learnsCapacity = readSwitch(reader, "learned_capacity", needs.hasUnevenPools);
+    settings.controlsOverload = readSwitch(reader, "overload_control", needs.hasUnevenPools);
     findings.append(reader.finish());
     return settings;
 }
@@ -110,7 +148,16 @@
         << "max_stream_bytes: " << settings.maxStreamBytes << "\n"
         << "drain_limit_ms: " << milliseconds(settings.drainLimit) << "\n"
         << "configuration_limit_ms: " << milliseconds(settings.configurationLimit) << "\n"
-        << "session_lifetime_s: " << seconds(settings.sessionLifetime) << "\n";
+        << "session_lifetime_s: " << seconds(settings.sessionLifetime) << "\n"
+        << "cold_overage: " << settings.coldOverage << "\n"
+        << "cold_tolerance: " << settings.coldTolerance << "\n"
+        << "evacuation_limit_ms: " << milliseconds(settings.evacuationLimit) << "\n"
+        << "learned_capacity: " << switchText(settings.learnsCapacity) << "\n"
+        << "overload_control: " << switchText(settings.controlsOverload) << "\n"
+        << "domain_regions:\n";
+    for (const auto &[domain, region] : settings.domainRegions) {
+        out << "  - " << domain << "=" << region << "\n";
+    }
     return out.str();
 }
 
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -5,6 +5,7 @@
 #include "LibCore/Time.h"
 #include "LibHttp/HttpMessage.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,17 @@
     Duration configurationLimit = std::chrono::seconds(5);
     /// Idle time after which a session may move to another version.
     Duration sessionLifetime = std::chrono::seconds(5);
+    /// Requests that a cold endpoint may get in any second, from all instances: its stated rate times the overage, plus the tolerance.
+    double coldOverage = 1;
+    double coldTolerance = 0;
+    /// Time within which an evacuated failure domain must get no more requests; zero if evacuations are not followed.
+    Duration evacuationLimit = Duration::zero();
+    /// Region of each failure domain.
+    std::map<std::string, std::string> domainRegions;
+    /// Whether the capacity of each endpoint is learned from the times of its answers.
+    bool learnsCapacity = false;
+    /// Whether requests that cannot be served in time are refused.
+    bool controlsOverload = false;
 
     auto operator<=>(const EntrySettings &) const = default;
 };
--- a/Tests/LibEntry/TestEntrySettings.cpp
+++ b/Tests/LibEntry/TestEntrySettings.cpp
@@ -51,3 +51,26 @@
     parseEntrySettings("s.yaml", complete + "memory_limit_mb: 31\n", findings);
     CHECK(findings.entries().size() == 1);
 }
+
+// Guards against parts that take effect where the deployment does not call for them.
+TEST_CASE("Parts for uneven pools, cold endpoints and evacuations are off unless the settings call for them", "[settings]")
+{
+    Findings findings;
+    const EntrySettings plain = parseEntrySettings("s.yaml", complete + "contracts: [base, engine]\n", findings);
+    CHECK_FALSE(plain.learnsCapacity);
+    CHECK_FALSE(plain.controlsOverload);
+    CHECK(plain.evacuationLimit == 0s);
+    const std::string asked = "contracts: [base, pool]\noverload_control: off\nevacuation_limit_ms: 5000\ncold_overage: 1.5\ncold_tolerance: 5\n"
+                              "domain_regions: [\"a=north\", \"b=south\"]\n";
+    const EntrySettings settings = parseEntrySettings("s.yaml", complete + asked, findings);
+    CHECK(settings.learnsCapacity);
+    CHECK_FALSE(settings.controlsOverload);
+    CHECK(settings.evacuationLimit == 5s);
+    CHECK(settings.coldOverage == Approx(1.5));
+    CHECK(settings.coldTolerance == Approx(5));
+    CHECK(settings.domainRegions.at("b") == "south");
+    CHECK(parseEntrySettings("s.yaml", printEntrySettings(settings), findings) == settings);
+    CHECK(findings.isEmpty());
+    parseEntrySettings("s.yaml", complete + "learned_capacity: maybe\ndomain_regions: [north]\n", findings);
+    CHECK(findings.entries().size() == 2);
+}
