--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -52,7 +52,7 @@
     /// Model that the router chose; empty if the caller requested one.
     std::string model;
     std::optional<std::int64_t> resumeAfter;
-    /// Engine priority from 0, the most urgent, to 9.
+    /// Priority of the request at an engine, 0 is the most urgent; empty for the engine's default.
     std::optional<int> enginePriority;
 
     auto operator<=>(const AttemptHeaders &) const = default;
--- a/Libraries/LibGateway/RouteConfiguration.cpp
+++ b/Libraries/LibGateway/RouteConfiguration.cpp
@@ -13,6 +13,11 @@
     return rule == RepeatRule::Idempotent || rule == RepeatRule::ResumableStream;
 }
 
+int requestPriority(const Route &route, const ClientAccount *account)
+{
+    return account && account->priority ? *account->priority : route.priority;
+}
+
 RouteConfigurationBuilder::RouteConfigurationBuilder(ConfigurationVersion version)
 {
     this->configuration.version = version;
--- a/Libraries/LibGateway/RouteConfiguration.h
+++ b/Libraries/LibGateway/RouteConfiguration.h
@@ -100,6 +100,9 @@
     auto operator<=>(const ClientAccount &) const = default;
 };
 
+/// Priority of a route's requests of an account, null if it has none; the account's own priority goes before the route's. 0 is the most urgent.
+int requestPriority(const Route &route, const ClientAccount *account);
+
 /// Limits on the size of requests and on the time that callers may take.
 struct CallerLimits {
     std::uint32_t maxHeaderBytes = 16 * 1024;
