--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -1,6 +1,7 @@
 #include "LibEntry/CatalogChanges.h"
 
 #include "LibCore/Log.h"
+#include "LibEntry/ColdEndpoints.h"
 
 #include <nlohmann/json.hpp>
 
@@ -48,6 +49,9 @@
         if (change.kind == EndpointChangeKind::Restarted || change.kind == EndpointChangeKind::Removed) {
             state.chooser.forget(change.endpoint.id);
         }
+        if (change.kind == EndpointChangeKind::Removed) {
+            state.coldStarts.forget(change.endpoint.id);
+        }
         logEvent(LogLevel::Info,
                  "endpoint.changed",
                  {{"endpoint", change.endpoint.id},
@@ -81,7 +85,9 @@
 void applyEndpoint(EntryState &state, const CatalogChange &change, SnapshotTrust trust, MonotonicTime now)
 {
     if (change.object) {
-        logEndpointChanges(state, state.endpoints.put(std::get<EndpointEntry>(*change.object), now));
+        const auto &entry = std::get<EndpointEntry>(*change.object);
+        recordEndpointStart(state, entry, now);
+        logEndpointChanges(state, state.endpoints.put(entry, now));
     } else if (change.fault != ItemFault::None) {
         removeUnnamed(state, change.name, now);
     } else {
@@ -115,6 +121,7 @@
         recordProblem(state, CatalogKind::Endpoints, change, now);
         if (change.object) {
             entries.push_back(std::get<EndpointEntry>(*change.object));
+            recordEndpointStart(state, entries.back(), now);
             unnamed.erase(change.name);
         } else if (change.fault != ItemFault::None) {
             unnamed.insert(change.name);
--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -39,6 +39,14 @@
                                                                  .Name("godwitfork_entry_endpoint_announcements_total")
                                                                  .Help("Answers in which an endpoint said something new of itself, by service and kind")
                                                                  .Register(this->registry);
+    prometheus::Family<prometheus::Counter> &coldRequests = prometheus::BuildCounter()
+                                                                .Name("godwitfork_entry_cold_requests_total")
+                                                                .Help("Requests to endpoints that were not warm, by service and phase")
+                                                                .Register(this->registry);
+    prometheus::Family<prometheus::Counter> &coldRefusals = prometheus::BuildCounter()
+                                                                .Name("godwitfork_entry_cold_refusals_total")
+                                                                .Help("Requests left without an endpoint while cold ones could not take them, by service")
+                                                                .Register(this->registry);
     prometheus::Family<prometheus::Counter> &stopRequests = prometheus::BuildCounter()
                                                                 .Name("godwitfork_entry_stop_requests_total")
                                                                 .Help("Requests that ended while the process stopped, by outcome")
@@ -100,6 +108,16 @@
     this->state->announcements.Add({{"service", service}, {"kind", kind}}).Increment();
 }
 
+void EntryMetrics::recordColdRequest(const std::string &service, const char *phase)
+{
+    this->state->coldRequests.Add({{"service", service}, {"phase", phase}}).Increment();
+}
+
+void EntryMetrics::recordColdRefusal(const std::string &service)
+{
+    this->state->coldRefusals.Add({{"service", service}}).Increment();
+}
+
 void EntryMetrics::recordStopRequest(const char *outcome)
 {
     this->state->stopRequests.Add({{"outcome", outcome}}).Increment();
@@ -126,6 +144,7 @@
     this->state->gauges.Add({{"name", "configuration_version"}}).Set(gauges.configurationVersion);
     this->state->gauges.Add({{"name", "configuration_age_seconds"}}).Set(gauges.configurationAgeSeconds);
     this->state->gauges.Add({{"name", "endpoints"}}).Set(gauges.endpoints);
+    this->state->gauges.Add({{"name", "cold_endpoints"}}).Set(gauges.coldEndpoints);
     for (const auto &[kind, age] : gauges.copyAgeSeconds) {
         this->state->gauges.Add({{"name", kind + "_copy_age_seconds"}}).Set(age);
     }
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -16,6 +16,8 @@
     double configurationVersion = 0;
     double configurationAgeSeconds = 0;
     double endpoints = 0;
+    /// Number of endpoints that are, or may be, cold.
+    double coldEndpoints = 0;
     /// Time since the copy of each catalog kind was last known to match the store, by kind name.
     std::map<std::string, double> copyAgeSeconds;
     /// Bytes of requests and answers that are held, by use.
@@ -42,6 +44,10 @@
     void recordPromptRefusal(const std::string &service);
     /// Counts an answer in which an endpoint of the service said something new of itself; `kind` is "limit", "leaving" or "closed".
     void recordAnnouncement(const std::string &service, const char *kind);
+    /// Counts a request to an endpoint that is not warm; `phase` as in coldPhaseName.
+    void recordColdRequest(const std::string &service, const char *phase);
+    /// Counts a request that was sent to no endpoint while cold ones could not take it.
+    void recordColdRefusal(const std::string &service);
     /// Counts a request that ended while the process stopped; `outcome` is "answered", "refused_late", "interrupted", "broken_off" or "caller_gone".
     void recordStopRequest(const char *outcome);
     /// Counts an attempt whose endpoint was silent beyond its limit; `action` is "cancelled" or "tolerated", `obstacle` what kept the request
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Log.h"
 #include "LibEntry/BodyAdmission.h"
 #include "LibEntry/CatalogChanges.h"
+#include "LibEntry/ColdEndpoints.h"
 #include "LibSettings/SettingsReader.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -136,6 +137,7 @@
         gauges.copyAgeSeconds[catalogKindName(kind)] = std::chrono::duration<double>(monotonicNow() - freshness.confirmedAt).count();
     }
     gauges.endpoints = static_cast<double>(this->state.endpoints.size());
+    gauges.coldEndpoints = countColdEndpoints(this->state, monotonicNow());
     gauges.ignoredItems = this->state.ignoredItems.counts();
     for (const MemoryUse use : memoryUses) {
         gauges.memoryHeldBytes[memoryUseName(use)] = static_cast<double>(this->state.memory.held(use));
@@ -170,6 +172,7 @@
 // The fixed retry allowance applies to the whole fleet, so each instance gets an equal share, and none while it knows no other.
 void EntryService::applyPeerState(MonotonicTime now)
 {
+    updateColdEndpoints(this->state, this->peers.members(), now);
     this->state.promptQuarantine.setTrialRank(this->peers.rankFor(promptTrialTask));
     for (const auto &[endpoint, limit] : this->state.announcements.states()) {
         this->state.announcements.setRank(endpoint, this->peers.rankFor(limitTask + endpoint), this->peers.liveInstanceCount(), now);
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibColdStart/ColdStarts.h"
 #include "LibCore/MemoryBudget.h"
 #include "LibCore/Random.h"
 #include "LibEntry/EntrySettings.h"
@@ -55,6 +56,8 @@
     std::string configurationSource;
     EndpointChooser chooser;
     EndpointAnnouncements announcements;
+    /// Starts of endpoints, and this instance's shares in the requests to cold ones.
+    ColdStarts coldStarts;
     /// Time until which further malformed header values of endpoints are not logged.
     MonotonicTime malformedHeadersLoggedUntil;
     /// Store objects and items of other instances' messages that were not understood.
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -43,6 +43,11 @@
     void setRelayHandler(HttpHandler handler);
     /// Whether any other instance is a known member of the fleet.
     bool hasOtherMembers() const;
+    /// Instances within the membership timeout, this one included unless it has just started.
+    const std::vector<FleetMember> &members() const
+    {
+        return this->directory.fleet().members();
+    }
     /// Number of instances within the membership timeout, this one included; at least 1.
     int liveInstanceCount() const;
 
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Digest.h"
 #include "LibCore/Log.h"
 #include "LibEntry/BodyAdmission.h"
+#include "LibEntry/ColdEndpoints.h"
 #include "LibHttp/EventSplitter.h"
 #include "RequestHeaders.h"
 
@@ -167,6 +168,7 @@
         if (!isInterrupted) {
             this->recordVersionAnswer(outcome);
             this->recordPromptCrash(outcome);
+            this->recordColdEvidence(outcome);
         }
         if (this->isEscalating) {
             this->logEscalation();
@@ -214,20 +216,10 @@
     std::erase_if(endpoints, [&](const EndpointEntry *endpoint) {
         return this->state.announcements.timeToRequest(endpoint->id, endpoint->incarnation, now) > Duration::zero();
     });
+    removeColdEndpoints(this->state, this->routes->findService(this->service), endpoints, now);
     return endpoints;
 }
 
-Duration RequestRun::timeToAvailableEndpoint() const
-{
-    const MonotonicTime now = monotonicNow();
-    Duration earliest = Duration::max();
-    for (const EndpointEntry *endpoint : this->state.endpoints.ready(this->service)) {
-        const Duration time = this->state.announcements.timeToRequest(endpoint->id, endpoint->incarnation, now);
-        earliest = time > Duration::zero() ? std::min(earliest, time) : earliest;
-    }
-    return earliest == Duration::max() ? Duration::zero() : earliest;
-}
-
 ChoiceQuery RequestRun::makeQuery() const
 {
     ChoiceQuery query;
@@ -287,6 +279,7 @@
     next.ticket = this->state.chooser.begin(next.query, next.choice);
     next.started = monotonicNow();
     this->state.announcements.recordRequest(next.choice.endpoint.id, next.choice.endpoint.incarnation, next.started);
+    this->recordColdRequest(next.choice.endpoint, next.started);
     next.waitingSince = next.started;
     this->triedEndpoints.insert(next.choice.endpoint.id);
     this->currentAttempt = std::move(next);
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -106,9 +106,17 @@
     std::vector<const EndpointEntry *> candidates(bool hasFailed) const;
     /// Ready endpoints of the service that this instance may send a request to now, by what they say of themselves.
     std::vector<const EndpointEntry *> availableEndpoints() const;
-    /// Time until the first endpoint that is closed or at its limit takes a request of this instance; zero if there is none, or if other instances
+    /// Time until the first endpoint that is closed, cold or at its limit takes a request of this instance; zero if there is none, or if other instances
     /// send them.
     Duration timeToAvailableEndpoint() const;
+    /// Bound on the requests to cold endpoints of the service.
+    ColdRule coldRule() const;
+    /// Counts a request against this instance's share of a cold endpoint.
+    void recordColdRequest(const EndpointEntry &endpoint, MonotonicTime now);
+    /// Records what the end of an attempt shows of an endpoint that may have restarted.
+    void recordColdEvidence(const AttemptOutcome &outcome);
+    /// Logs and counts a request that cold endpoints could not take.
+    void logColdEndpoints() const;
     void logUnavailable() const;
     void recordVersionAnswer(const AttemptOutcome &outcome);
     /// Records how long the answer has taken so far as an observation of the endpoint's version, once for each attempt.
--- a/Libraries/LibEntry/RequestRunLog.cpp
+++ b/Libraries/LibEntry/RequestRunLog.cpp
@@ -38,6 +38,7 @@
 
 void RequestRun::logUnavailable() const
 {
+    this->logColdEndpoints();
     const MonotonicTime now = monotonicNow();
     for (const EndpointEntry *endpoint : this->state.endpoints.ready(this->service)) {
         const auto announced = this->state.announcements.states().find(endpoint->id);
--- a/Libraries/LibGateway/EndpointRegistry.cpp
+++ b/Libraries/LibGateway/EndpointRegistry.cpp
@@ -12,6 +12,15 @@
 /// Reports of other instances are up to two reporting intervals old, so a report of leaving within this time after a registration may
 /// describe the time before it. If the endpoint does leave within this time, the store reports it.
 constexpr Duration confirmationPeriod = std::chrono::seconds(3);
+
+/// Whether two entries differ at most in what each renewal of a registration changes.
+bool isRenewal(const EndpointEntry &entry, const EndpointEntry &known)
+{
+    EndpointEntry renewed = known;
+    renewed.sequence = entry.sequence;
+    renewed.coldRemaining = entry.coldRemaining;
+    return renewed == entry;
+}
 } // namespace
 
 EndpointKey endpointKey(std::string_view id)
@@ -80,7 +89,8 @@
     registration.removeAt.reset();
     registration.lastConfirmed = now;
     registration.isMarkedByPeer = false;
-    if (registration.entry == entry) {
+    if (isRenewal(entry, registration.entry)) {
+        registration.entry = entry;
         return {};
     }
     EndpointChangeKind kind = EndpointChangeKind::Changed;
--- a/Libraries/LibGateway/EndpointRegistry.h
+++ b/Libraries/LibGateway/EndpointRegistry.h
@@ -35,6 +35,10 @@
     EndpointState state = EndpointState::Ready;
     /// Start time of the endpoint in milliseconds since 1970, which distinguishes incarnations with the same id; 0 if unknown.
     std::int64_t incarnation = 0;
+    /// Number of the registration's last renewal.
+    std::int64_t sequence = 0;
+    /// Time for which the endpoint stays cold after that renewal; zero if it is warm.
+    Duration coldRemaining = Duration::zero();
 
     auto operator<=>(const EndpointEntry &) const = default;
 };
--- a/Libraries/LibGateway/RouteConfiguration.h
+++ b/Libraries/LibGateway/RouteConfiguration.h
@@ -85,6 +85,10 @@
     std::string healthPath;
     /// Maximum number of connections that one endpoint accepts from all callers together.
     int maxConnections = 0;
+    /// Time for which an endpoint of the service is cold after it started during traffic.
+    Duration coldTime = Duration::zero();
+    /// Requests a second that a cold endpoint can take; 0 if there is no bound.
+    double coldRequestsPerSecond = 0;
     /// Properties of the engines; empty if the service's endpoints are no model engines.
     std::optional<EngineProperties> engine;
 
--- a/Tests/LibGateway/TestEndpointRegistry.cpp
+++ b/Tests/LibGateway/TestEndpointRegistry.cpp
@@ -142,3 +142,20 @@
     CHECK_FALSE(registry.findByKey(endpointKey("a")));
     CHECK_FALSE(registry.findByKey(endpointKey("b")));
 }
+
+TEST_CASE("A renewal of a registration is no change of the endpoint, and its cold time is kept", "[registry]")
+{
+    // Guards against a log line for each endpoint and renewal: the time that a cold endpoint states counts down.
+    EndpointRegistry registry(2s);
+    EndpointEntry entry = endpoint("a");
+    entry.coldRemaining = 3s;
+    CHECK(registry.put(entry, start).size() == 1);
+    entry.coldRemaining = 2s;
+    ++entry.sequence;
+    CHECK(registry.put(entry, start + 1s).empty());
+    CHECK(registry.find("a")->coldRemaining == 2s);
+    CHECK(registry.find("a")->sequence == 1);
+    entry.coldRemaining = 1s;
+    entry.slots = 9;
+    CHECK(registry.put(entry, start + 2s).front().kind == EndpointChangeKind::Changed);
+}
--- a/Tests/Platform/TestCatalogDecoder.cpp
+++ b/Tests/Platform/TestCatalogDecoder.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <random>
 
 using namespace Godwitfork;
@@ -124,6 +125,43 @@
     CHECK_FALSE(Platform::decodeObject(CatalogKind::Endpoints, {{"metadata", {{"name", "i-1"}}}, {"spec", "\xff\xfe"}}).object);
 }
 
+TEST_CASE("A registration states how long its endpoint stays cold, and the number of its renewal", "[platform]")
+{
+    // Guards against FAILBACK: the time was checked and dropped, so that a cold endpoint was taken for a warm one.
+    nlohmann::json object = endpointObject();
+    object["spec"]["coldRemainingMs"] = 2350.5;
+    const CatalogChange cold = Platform::decodeObject(CatalogKind::Endpoints, object);
+    CHECK(std::get<EndpointEntry>(*cold.object).coldRemaining == 2350500us);
+    CHECK(std::get<EndpointEntry>(*cold.object).sequence == 4);
+    object["spec"]["coldRemainingMs"] = 0;
+    CHECK(std::get<EndpointEntry>(*Platform::decodeObject(CatalogKind::Endpoints, object).object).coldRemaining == Duration::zero());
+}
+
+TEST_CASE("A service states the rate that its cold endpoints can take, or none", "[platform]")
+{
+    const auto serviceOf = [](const nlohmann::json &fields) {
+        nlohmann::json object = configurationObject();
+        object["spec"]["services"][0].update(fields);
+        const CatalogChange change = Platform::decodeObject(CatalogKind::Configuration, object);
+        return change.object ? std::optional(std::get<std::shared_ptr<const RouteConfiguration>>(*change.object)->services.at(0)) : std::nullopt;
+    };
+    const auto cold = serviceOf({{"coldStartS", 3.0}, {"coldPerS", 5.2}});
+    REQUIRE(cold);
+    CHECK(cold->coldTime == 3s);
+    CHECK(cold->coldRequestsPerSecond == 5.2);
+    // Guards against CONFIG: deployments without the fields, or without values for them, keep their configuration.
+    for (const nlohmann::json &fields : {nlohmann::json::object(), nlohmann::json {{"coldStartS", nullptr}, {"coldPerS", nullptr}}}) {
+        const auto plain = serviceOf(fields);
+        REQUIRE(plain);
+        CHECK(plain->coldTime == 0s);
+        CHECK(plain->coldRequestsPerSecond == 0);
+    }
+    for (const nlohmann::json &odd : {nlohmann::json(-1), nlohmann::json(1e300), nlohmann::json("5"), nlohmann::json(true)}) {
+        CHECK_FALSE(serviceOf({{"coldPerS", odd}}));
+        CHECK_FALSE(serviceOf({{"coldStartS", odd}}));
+    }
+}
+
 TEST_CASE("A deleted object decodes as a removal", "[platform]")
 {
     const nlohmann::json event = {{"deleted", true}, {"object", endpointObject()}};
