Move the decaying sums to LibCore

LibCapacity, which LibGateway will use, needs them too. Renames: Libraries/LibGateway/DecayingSum.cpp -> Libraries/LibCore/DecayingSum.cpp Libraries/LibGateway/DecayingSum.h -> Libraries/LibCore/DecayingSum.h

--- a/Libraries/LibGateway/DecayingSum.cpp
+++ b/Libraries/LibCore/DecayingSum.cpp
@@ -1,4 +1,4 @@
-#include "LibGateway/DecayingSum.h"
+#include "LibCore/DecayingSum.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Libraries/LibGateway/EndpointLoads.h
+++ b/Libraries/LibGateway/EndpointLoads.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "LibCore/DecayingSum.h"
 #include "LibCore/Time.h"
-#include "LibGateway/DecayingSum.h"
 #include "LibGateway/EndpointRegistry.h"
 #include "LibGateway/PeerReport.h"
 
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "LibCore/DecayingSum.h"
 #include "LibCore/Error.h"
 #include "LibGateway/Catalog.h"
-#include "LibGateway/DecayingSum.h"
 #include "LibGateway/EndpointAnnouncements.h"
 #include "LibGateway/PromptQuarantine.h"
 #include "LibRollout/VersionTrial.h"
