Learn the relative speed of endpoints from the times of all instances

At 76 instances and 60 engines, a third of them 2.4 times slower, an instance sends to an engine once in 19 s, so its own observations, decayed over 4 s, never show the slow ones. Instances now report sums of the time until first outputs relative to the expected one, with the queue at the start included and the service's mean divided out; the predicted time is multiplied by the mean over all instances. Plain services get a time that depends little on concurrency while slots are free. On only with learned_capacity.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -63,6 +63,12 @@
                                                               .Name("godwitfork_entry_ignored_items")
                                                               .Help("Store objects and items of peers that were not understood, by source and cause")
                                                               .Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &capacities = prometheus::BuildGauge()
+                                                            .Name("godwitfork_entry_endpoint_capacity")
+                                                            .Help("Learned speed of endpoints, by service, endpoint and value")
+                                                            .Register(this->registry);
+    /// Gauges of `capacities` on the last page; those of endpoints that have left are removed.
+    std::vector<prometheus::Gauge *> capacityGauges;
     prometheus::Family<prometheus::Gauge> &gauges =
         prometheus::BuildGauge().Name("godwitfork_entry_belief").Help("What the process believes, by name").Register(this->registry);
 };
@@ -121,6 +127,23 @@
     this->state->trialAnswers.Add({{"service", service}, {"version", version}, {"result", "failure"}}).Set(failures);
 }
 
+void EntryMetrics::setCapacities(const std::vector<CapacityGauge> &capacities)
+{
+    for (prometheus::Gauge *gauge : this->state->capacityGauges) {
+        this->state->capacities.Remove(gauge);
+    }
+    this->state->capacityGauges.clear();
+    for (const CapacityGauge &capacity : capacities) {
+        const std::pair<const char *, double> values[] = {
+            {"relative_time", capacity.relativeTime}, {"evidence_seconds", capacity.evidenceSeconds}, {"running", capacity.running}};
+        for (const auto &[name, value] : values) {
+            prometheus::Gauge &gauge = this->state->capacities.Add({{"service", capacity.service}, {"endpoint", capacity.endpoint}, {"value", name}});
+            gauge.Set(value);
+            this->state->capacityGauges.push_back(&gauge);
+        }
+    }
+}
+
 std::string EntryMetrics::toText(const EntryGauges &gauges)
 {
     this->state->gauges.Add({{"name", "configuration_version"}}).Set(gauges.configurationVersion);
@@ -136,6 +159,7 @@
     for (const auto &[key, count] : gauges.ignoredItems) {
         this->state->ignoredItems.Add({{"source", key.first}, {"cause", key.second}}).Set(static_cast<double>(count));
     }
+    this->setCapacities(gauges.capacities);
     return prometheus::TextSerializer().Serialize(this->state->registry.Collect());
 }
 
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -7,10 +7,23 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Godwitfork
 {
 
+/// Learned capacity of one endpoint.
+struct CapacityGauge {
+    std::string service;
+    std::string endpoint;
+    /// Time that it takes relative to the service's mean.
+    double relativeTime = 1;
+    /// Weight of the evidence for it, in seconds that the observed requests were expected to take.
+    double evidenceSeconds = 0;
+    /// Requests of all instances in progress.
+    double running = 0;
+};
+
 /// Gauge values of an entry process for one metrics page.
 struct EntryGauges {
     double configurationVersion = 0;
@@ -23,6 +36,7 @@
     bool isReady = false;
     /// Number of items that were not understood since the start, by source and cause.
     std::map<std::pair<std::string, std::string>, std::uint64_t> ignoredItems;
+    std::vector<CapacityGauge> capacities;
 };
 
 /// Metrics of one entry process in the Prometheus text format.
@@ -54,6 +68,8 @@
     std::string toText(const EntryGauges &gauges);
 
 private:
+    void setCapacities(const std::vector<CapacityGauge> &capacities);
+
     struct State;
     std::unique_ptr<State> state;
 };
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -140,6 +140,7 @@
     for (const MemoryUse use : memoryUses) {
         gauges.memoryHeldBytes[memoryUseName(use)] = static_cast<double>(this->state.memory.held(use));
     }
+    gauges.capacities = capacityGauges(this->state, monotonicNow());
     gauges.isReady = this->state.isReady(monotonicNow());
     return gauges;
 }
@@ -202,6 +203,7 @@
         if (now >= nextSettings) {
             nextSettings = now + settingsCheckInterval;
             this->reloadSettings("changed");
+            this->capacityLog.logChanges(this->state, now);
         }
     }
 }
--- a/Libraries/LibEntry/EntryService.h
+++ b/Libraries/LibEntry/EntryService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CatalogClient.h"
+#include "LibEntry/CapacityLog.h"
 #include "LibEntry/CatalogFollower.h"
 #include "LibEntry/CatalogRelay.h"
 #include "LibEntry/EntryMetrics.h"
@@ -67,6 +68,7 @@
     boost::asio::signal_set stopSignals;
     boost::asio::signal_set reloadSignals;
     ConfigurationVersion limitsVersion = -1;
+    CapacityLog capacityLog;
     bool wasReady = false;
 };
 
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -26,6 +26,7 @@
     , chooser(this->settings.failureDomain)
     , random(systemSeededRandomSource())
 {
+    this->chooser.loads().setLearnsCapacity(this->settings.learnsCapacity);
 }
 
 bool EntryState::hasLoadedCatalog() const
@@ -46,6 +47,7 @@
 void EntryState::adoptSettings(EntrySettings newSettings)
 {
     this->settings = std::move(newSettings);
+    this->chooser.loads().setLearnsCapacity(this->settings.learnsCapacity);
     for (auto &[service, budget] : this->retryBudgets) {
         this->applyRetryRule(service, budget);
     }
--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -29,6 +29,9 @@
 constexpr double slowdownPerRequest = 0.02;
 /// Weight of the prior, in observations: the service's mean for the slowdown of an endpoint, 0 for its failure share.
 constexpr double priorObservations = 3;
+/// Relative increase of the expected time at an endpoint of a plain service from idle to all slots taken, if its capacity is learned. Requests do not wait
+/// for each other while slots are free; the increase spreads them over equal endpoints.
+constexpr double slotUseSlowdown = 0.2;
 /// Expected time of one request at an idle endpoint of nominal speed of a service without models.
 constexpr Duration plainServiceTime = std::chrono::milliseconds(60);
 /// Scores are multiplied by a random factor between 1 and 1 + scoreJitter, so that instances with the same view do not all choose one endpoint.
@@ -81,7 +84,9 @@
     if (query.model.empty()) {
         const int slots = std::max(1, endpoint.slots);
         choice.promptTime = plainServiceTime;
-        choice.nominalFirstOutput = scaled(plainServiceTime, 1 + static_cast<double>(load.concurrentRequests()) / slots);
+        const double slotUse = static_cast<double>(load.concurrentRequests()) / slots;
+        const double factor = this->endpointLoads.learnsCapacity() ? 1 + slotUseSlowdown * slotUse + std::max(0.0, slotUse + 1.0 / slots - 1) : 1 + slotUse;
+        choice.nominalFirstOutput = scaled(plainServiceTime, factor);
     } else {
         std::int64_t cached = 0;
         if (const auto cache = this->caches.find(endpoint.id); cache != this->caches.end()) {
@@ -92,8 +97,9 @@
         choice.nominalFirstOutput = scaled(choice.promptTime + load.waitingPromptTime(), 1 + slowdownPerRequest * load.concurrentRequests());
     }
     const double serviceSlowdown = this->endpointLoads.meanSlowdown(query.service, now);
-    const double priorWeight = priorObservations * std::chrono::duration<double>(choice.nominalFirstOutput).count();
-    choice.firstOutput = scaled(choice.nominalFirstOutput, meanWithPrior(load.firstOutputTimes.valueAt(now), serviceSlowdown, priorWeight));
+    const Duration learnedFirstOutput = scaled(choice.nominalFirstOutput, this->endpointLoads.relativeTime(load, now));
+    const double priorWeight = priorObservations * std::chrono::duration<double>(learnedFirstOutput).count();
+    choice.firstOutput = scaled(learnedFirstOutput, meanWithPrior(load.firstOutputTimes.valueAt(now), serviceSlowdown, priorWeight));
     return choice;
 }
 
--- a/Libraries/LibGateway/EndpointLoads.cpp
+++ b/Libraries/LibGateway/EndpointLoads.cpp
@@ -67,6 +67,21 @@
     return {this->slowdown.valueAt(now), this->promptWaits.valueAt(now), {}};
 }
 
+void EndpointLoads::setLearnsCapacity(bool learns)
+{
+    this->isLearning = learns;
+}
+
+bool EndpointLoads::learnsCapacity() const
+{
+    return this->isLearning;
+}
+
+double EndpointLoads::relativeTime(const EndpointLoad &load, MonotonicTime now) const
+{
+    return this->isLearning ? load.capacity.relativeTime(now) : 1;
+}
+
 LoadTicket EndpointLoads::begin(const EndpointEntry &endpoint, Duration expectedPrompt)
 {
     EndpointLoad &load = this->loads[endpointKey(endpoint.id)];
@@ -87,7 +102,11 @@
     }
     const double expectedSeconds = toSeconds(expected);
     const ObservationSum observation {std::min(toSeconds(elapsed), expectedSeconds * maxSlowdown), expectedSeconds};
-    load.firstOutputTimes.add(observation, now);
+    const double relativeTime = this->relativeTime(load, now);
+    load.firstOutputTimes.add({observation.sum, observation.weight * relativeTime}, now);
+    if (this->isLearning) {
+        load.capacity.record({elapsed, expected, this->meanSlowdown(ticket.service, now)}, now);
+    }
     if (use == ObservationUse::Endpoint) {
         return;
     }
@@ -172,10 +191,15 @@
 {
     for (auto &[key, load] : this->loads) {
         load.peers = {};
+        // The evidence of the last summary stays if there is no newer one.
+        if (!usage.empty()) {
+            load.capacity.setPeerEvidence({}, now);
+        }
     }
     for (const auto &[key, peerUsage] : usage) {
         EndpointLoad &load = this->loads[key];
         load.peers = peerUsage;
+        load.capacity.setPeerEvidence(peerUsage.relativeTimes, now);
         if (peerUsage.sinceOutput) {
             load.lastPeerOutput = std::max(load.lastPeerOutput, now - *peerUsage.sinceOutput);
         }
@@ -189,8 +213,10 @@
     for (const auto &[key, load] : this->loads) {
         const ObservationSum failures = load.failures.valueAt(now);
         const bool hasRecentOutput = load.lastOutput != MonotonicTime() && now - load.lastOutput <= maxReportedOutputAge;
-        if (load.running > 0 || failures.sum >= minReportedWeight || hasRecentOutput) {
-            usages[key] = {load.running, load.pendingPromptTime, failures, hasRecentOutput ? std::optional(now - load.lastOutput) : std::nullopt};
+        const ObservationSum relativeTimes = this->isLearning ? load.capacity.ownEvidence(now) : ObservationSum();
+        if (load.running > 0 || failures.sum >= minReportedWeight || hasRecentOutput || relativeTimes.weight > 0) {
+            usages[key] = {
+                load.running, load.pendingPromptTime, failures, hasRecentOutput ? std::optional(now - load.lastOutput) : std::nullopt, relativeTimes};
         }
     }
     return usages;
--- a/Libraries/LibGateway/EndpointLoads.h
+++ b/Libraries/LibGateway/EndpointLoads.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCapacity/CapacityEstimate.h"
 #include "LibCore/DecayingSum.h"
 #include "LibCore/Time.h"
 #include "LibGateway/EndpointRegistry.h"
@@ -42,10 +43,13 @@
     int running = 0;
     /// Expected time to read the prompts of this instance's requests that have no output yet.
     Duration pendingPromptTime = Duration::zero();
-    /// Slowdown of this instance's requests: the seconds observed until first outputs (sum) over those expected at nominal speed (weight).
+    /// Slowdown of this instance's requests: the seconds observed until first outputs (sum) over those expected at the learned speed, or at nominal
+    /// speed if none is learned (weight).
     DecayingSum firstOutputTimes;
     /// Failure share of this instance's requests: the number of failed ones (sum) over that of answered and failed ones (weight).
     DecayingSum failures;
+    /// Learned speed; stays at the service's mean unless capacity is learned.
+    CapacityEstimate capacity;
     /// Usage of the endpoint by all other entry instances together.
     EndpointUsage peers;
     /// Number of requests without a response since the last success.
@@ -81,6 +85,11 @@
 class EndpointLoads
 {
 public:
+    /// Whether the speed of each endpoint is learned and exchanged with the other instances.
+    void setLearnsCapacity(bool learns);
+    bool learnsCapacity() const;
+    /// Time that the endpoint takes relative to its service's mean; 1 unless capacity is learned.
+    double relativeTime(const EndpointLoad &load, MonotonicTime now) const;
     LoadTicket begin(const EndpointEntry &endpoint, Duration expectedPrompt);
     /// Records the time until the first output; `expected` is the time at an endpoint of nominal speed.
     void recordFirstOutput(LoadTicket &ticket, Duration elapsed, Duration expected, MonotonicTime now, ObservationUse use = ObservationUse::Service);
@@ -119,6 +128,7 @@
 
     ServiceStatistics fleetStatistics(const std::string &service, MonotonicTime now) const;
 
+    bool isLearning = false;
     std::unordered_map<EndpointKey, EndpointLoad> loads;
     std::map<std::string, DecayingStatistics> statistics;
     ServiceStatisticsMap peerStatistics;
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -21,6 +21,8 @@
 constexpr int maxDepth = 8;
 /// Observations are encoded as integers in hundredths, which take fewer bytes than floating-point numbers.
 constexpr double observationUnits = 100;
+/// Relative times are encoded in units of 4 ms: the evidence of a request is about 20 units, which take one byte.
+constexpr double relativeTimeUnits = 250;
 
 /// Largest number of requests, answers or tokens of one item; sums of many items stay within 64 bits.
 constexpr std::int64_t maxCount = std::int64_t {1} << 48U;
@@ -231,7 +233,9 @@
                                             toMilliseconds(usage.pendingPromptTime),
                                             sinceOutput,
                                             std::llround(usage.failures.weight * observationUnits),
-                                            std::llround(usage.failures.sum * observationUnits)};
+                                            std::llround(usage.failures.sum * observationUnits),
+                                            std::llround(usage.relativeTimes.weight * relativeTimeUnits),
+                                            std::llround(usage.relativeTimes.sum * relativeTimeUnits)};
         while (fields.back() == 0 && fields.size() > 1) {
             fields.pop_back();
         }
@@ -252,6 +256,7 @@
             usage.sinceOutput = std::chrono::milliseconds(field(3, maxMilliseconds) - 1);
         }
         usage.failures = {static_cast<double>(field(5, maxCount)) / observationUnits, static_cast<double>(field(4, maxCount)) / observationUnits};
+        usage.relativeTimes = {static_cast<double>(field(7, maxCount)) / relativeTimeUnits, static_cast<double>(field(6, maxCount)) / relativeTimeUnits};
         usages.insert_or_assign(readKey(fields.at(0)), usage);
     });
     return usages;
@@ -455,6 +460,7 @@
     if (other.sinceOutput) {
         this->sinceOutput = std::min(this->sinceOutput.value_or(*other.sinceOutput), *other.sinceOutput);
     }
+    this->relativeTimes += other.relativeTimes;
     return *this;
 }
 
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -27,6 +27,8 @@
     ObservationSum failures;
     /// Time since the endpoint last sent output to any request; empty if it sent none recently.
     std::optional<Duration> sinceOutput;
+    /// Evidence of the endpoint's relative speed, see CapacityEstimate; empty unless capacity is learned.
+    ObservationSum relativeTimes {};
 
     EndpointUsage &operator+=(const EndpointUsage &other);
     auto operator<=>(const EndpointUsage &) const = default;
--- a/Libraries/LibGateway/PeerReportAggregator.cpp
+++ b/Libraries/LibGateway/PeerReportAggregator.cpp
@@ -220,6 +220,7 @@
             known->second.running = std::max(0, known->second.running - usage.running);
             known->second.pendingPromptTime = std::max(Duration::zero(), known->second.pendingPromptTime - usage.pendingPromptTime);
             known->second.failures -= usage.failures;
+            known->second.relativeTimes -= usage.relativeTimes;
         }
     }
     return result;
--- /dev/null
+++ b/Tests/LibCapacity/TestCapacityComparison.cpp
@@ -0,0 +1,40 @@
+#include "QueuePool.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+
+using namespace Godwitfork;
+
+// Not run by default: prints the table of docs/measurements.md.
+TEST_CASE("Comparison of choice rules", "[.table]")
+{
+    constexpr std::uint64_t seeds = 3;
+    std::printf(
+        "| pool | instances | rule | p50 ms | p99 ms | within 1 s | oscillation | estimate error |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const PoolKind kind : poolKinds) {
+        for (const int instances : {3, 9, 76, 330}) {
+            for (const ChoiceRule rule : choiceRules) {
+                PoolResult mean;
+                for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                    const PoolResult result = runPool(kind, instances, rule, seed);
+                    mean.median += result.median / seeds;
+                    mean.p99 += result.p99 / seeds;
+                    mean.goodput += result.goodput / seeds;
+                    mean.oscillation += result.oscillation / seeds;
+                    mean.estimateError += result.estimateError / seeds;
+                }
+                std::printf("| %s | %d | %s | %.0f | %.0f | %.4f | %.2f | %.2f |\n",
+                            poolKindName(kind),
+                            instances,
+                            choiceRuleName(rule),
+                            mean.median,
+                            mean.p99,
+                            mean.goodput,
+                            mean.oscillation,
+                            mean.estimateError);
+                std::fflush(stdout);
+            }
+        }
+    }
+}
--- a/Tests/LibGateway/TestEndpointChooser.cpp
+++ b/Tests/LibGateway/TestEndpointChooser.cpp
@@ -198,6 +198,61 @@
     CHECK(loads.meanPromptWait("pool", start) == Duration::zero());
 }
 
+TEST_CASE("Endpoints that other instances found fast get the requests, in proportion to their speed", "[chooser]")
+{
+    // A third of the endpoints is 2.4 times slower, and no instance has enough observations of its own to see it. A choice that sent all requests to the
+    // fast endpoints, or the same number to each, would leave the queues of different lengths in seconds.
+    const Pool pool(9);
+    EndpointChooser chooser("c");
+    chooser.loads().setLearnsCapacity(true);
+    EndpointUsageMap usage;
+    for (int i = 0; i < 9; ++i) {
+        usage[endpointKey("e" + std::to_string(i))].relativeTimes = {(i % 3 == 0 ? 1.7 : 0.7) * 20, 20};
+    }
+    chooser.loads().setPeerUsage(usage, {}, start);
+    RandomSource random(1);
+    ChoiceQuery query;
+    query.service = "pool";
+    query.model = "large";
+    query.promptTokens = 1000;
+    int toSlow = 0;
+    constexpr int requests = 340;
+    for (int i = 0; i < requests; ++i) {
+        const auto choice = chooser.choose(pool.pointers, query, start, random);
+        chooser.begin(query, *choice);
+        toSlow += (choice->endpoint.id[1] - '0') % 3 == 0 ? 1 : 0;
+    }
+    // 3 / 1.7 of 3 / 1.7 + 6 / 0.7; concurrency costs the endpoints with more requests some more time.
+    const double share = static_cast<double>(toSlow) / requests;
+    CHECK(share > 0.13);
+    CHECK(share < 0.25);
+}
+
+TEST_CASE("Without learned capacity choices and reports are as before", "[chooser]")
+{
+    // Deployments that don't ask for it must be served as before, whatever other instances report.
+    const Pool pool(2);
+    EndpointChooser chooser("c");
+    RandomSource random(1);
+    ChoiceQuery query;
+    query.service = "plain";
+    EndpointUsage usage;
+    usage.running = 4;
+    usage.relativeTimes = {100, 20};
+    chooser.loads().setPeerUsage({{endpointKey("e0"), usage}}, {}, start);
+    CHECK(chooser.choose({pool.pointers[0]}, query, start, random)->nominalFirstOutput == 90ms);
+    CHECK(chooser.choose({pool.pointers[0]}, query, start, random)->firstOutput == 90ms);
+    query.model = "large";
+    query.promptTokens = 1000;
+    CHECK(chooser.choose({pool.pointers[0]}, query, start, random)->firstOutput == 70200us);
+    LoadTicket ticket = chooser.begin(query, *chooser.choose({pool.pointers[0]}, query, start, random));
+    chooser.recordFirstOutput(ticket, query, *chooser.choose({pool.pointers[0]}, query, start, random), start, start + 200ms);
+    CHECK(chooser.loads().ownUsage(start + 200ms).at(endpointKey("e0")).relativeTimes == ObservationSum());
+    chooser.loads().setLearnsCapacity(true);
+    query.model = "";
+    CHECK(chooser.choose({pool.pointers[0]}, query, start, random)->firstOutput > 200ms);
+}
+
 TEST_CASE("The speed of a model is estimated from prompts without a queue", "[chooser]")
 {
     EngineSpeeds speeds;
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -20,6 +20,7 @@
     report.endpoints[endpointKey("e1")] = {3, 450ms, {1.5, 4}, 120ms};
     report.endpoints[endpointKey("e3")] = {1, 0ms, {}, std::nullopt};
     report.endpoints[endpointKey("e4")] = {0, 0ms, {}, 0ms};
+    report.endpoints[endpointKey("e5")] = {0, 0ms, {}, std::nullopt, {0.8, 0.4}};
     report.statistics["pool"] = {{12.25, 3.5}, {7, 20}, {200, 30}};
     report.placements[endpointKey("e1")] = {{0xfedcba9876543210, 13000}, {7, 400}};
     report.leaving = {{"e2", 1700000000000}};
@@ -46,6 +47,25 @@
     CHECK(decoded.value() == fullReport());
 }
 
+TEST_CASE("The evidence of an endpoint's speed takes a few bytes, and none where capacity is not learned", "[peer]")
+{
+    // 76 instances report on 60 endpoints, and hubs receive some 50 reports a second.
+    PeerReport report = fullReport();
+    report.endpoints.clear();
+    for (int i = 0; i < 60; ++i) {
+        report.endpoints[endpointKey("e" + std::to_string(i))] = {2, 120ms, {}, 40ms};
+    }
+    const std::size_t before = encodePeerReport(report).size();
+    for (auto &[key, usage] : report.endpoints) {
+        usage.relativeTimes = {0.4, 0.25};
+    }
+    // Two numbers for each, and the two empty ones of failures that stand before them.
+    const std::size_t after = encodePeerReport(report).size();
+    CHECK(after - before <= 60 * 6);
+    INFO("bytes of a report on 60 endpoints, before and after: " << before << ", " << after);
+    CHECK(after > before);
+}
+
 TEST_CASE("A summary is equal after encoding and decoding", "[peer]")
 {
     PeerSummary summary;
