Keep requests from evacuated failure domains and out of foreign regions

Evacuations are a fourth kind of store object, followed and relayed like the others where evacuation_limit_ms is not 0. Home regions are part of routes and client accounts. RequestRun::availableEndpoints asks LibPlacement, so all paths pass it; a request without an allowed endpoint is refused as not run.

Printed settings without regions of failure domains parse again: the empty list was printed as null, for which two cases of TestEntrySettings failed.

--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -105,8 +105,43 @@
              "rollout.seen",
              {{"service", order.service}, {"target", order.target}, {"state", rolloutStateName(order.state)}, {"revision", order.revision}});
 }
+
+void setEvacuated(EntryState &state, const std::string &failureDomain, bool isEvacuated, MonotonicTime now)
+{
+    std::set<std::string> &evacuated = state.failureDomains.evacuated;
+    const bool isChanged = isEvacuated ? evacuated.insert(failureDomain).second : evacuated.erase(failureDomain) > 0;
+    if (isChanged) {
+        logEvent(LogLevel::Info,
+                 isEvacuated ? "evacuation.begun" : "evacuation.ended",
+                 {{"failure_domain", failureDomain}, {"copy_age_ms", copyAge(state, CatalogKind::Evacuations, now)}});
+    }
+}
+
+// An entry that is not understood changes nothing, so a domain whose entry is overwritten stays evacuated.
+void applyEvacuation(EntryState &state, const CatalogChange &change, MonotonicTime now)
+{
+    if (change.fault == ItemFault::None) {
+        setEvacuated(state, change.name, change.object.has_value(), now);
+    }
+}
 } // namespace
 
+void applyEvacuationList(EntryState &state, const CatalogPage &page, MonotonicTime now)
+{
+    std::set<std::string> listed;
+    for (const CatalogChange &change : page.changes) {
+        applyCatalogChange(state, CatalogKind::Evacuations, change, {}, now);
+        listed.insert(change.name);
+    }
+    const std::set<std::string> before = state.failureDomains.evacuated;
+    for (const std::string &failureDomain : before) {
+        if (!listed.contains(failureDomain)) {
+            setEvacuated(state, failureDomain, false, now);
+        }
+    }
+    state.evacuationsKnown = true;
+}
+
 void applyEndpointList(EntryState &state, const CatalogPage &page, SnapshotTrust trust, MonotonicTime now)
 {
     std::vector<EndpointEntry> entries;
@@ -172,6 +207,9 @@
     case CatalogKind::Rollouts:
         applyRollout(state, change, now);
         break;
+    case CatalogKind::Evacuations:
+        applyEvacuation(state, change, now);
+        break;
     }
 }
 
--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -264,6 +264,10 @@
         applyEndpointList(this->state, page, this->trust(), monotonicNow());
         return;
     }
+    if (this->kind == CatalogKind::Evacuations) {
+        applyEvacuationList(this->state, page, monotonicNow());
+        return;
+    }
     for (const CatalogChange &change : page.changes) {
         this->applyChange(change);
     }
--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -51,6 +51,10 @@
                                                                   .Name("godwitfork_entry_memory_refusals_total")
                                                                   .Help("Bodies, answers and events that were not held for lack of memory, by use")
                                                                   .Register(this->registry);
+    prometheus::Family<prometheus::Counter> &placementRefusals = prometheus::BuildCounter()
+                                                                     .Name("godwitfork_entry_placement_refusals_total")
+                                                                     .Help("Requests refused since placement allows no endpoint, by service and cause")
+                                                                     .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &memoryHeld = prometheus::BuildGauge()
                                                             .Name("godwitfork_entry_memory_held_bytes")
                                                             .Help("Bytes of requests and answers that are held, by use")
@@ -115,6 +119,11 @@
     this->state->memoryRefusals.Add({{"use", use}}).Increment();
 }
 
+void EntryMetrics::recordPlacementRefusal(const std::string &service, const char *cause)
+{
+    this->state->placementRefusals.Add({{"service", service}, {"cause", cause}}).Increment();
+}
+
 void EntryMetrics::setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures)
 {
     this->state->trialAnswers.Add({{"service", service}, {"version", version}, {"result", "all"}}).Set(answers);
@@ -126,6 +135,7 @@
     this->state->gauges.Add({{"name", "configuration_version"}}).Set(gauges.configurationVersion);
     this->state->gauges.Add({{"name", "configuration_age_seconds"}}).Set(gauges.configurationAgeSeconds);
     this->state->gauges.Add({{"name", "endpoints"}}).Set(gauges.endpoints);
+    this->state->gauges.Add({{"name", "evacuated_domains"}}).Set(gauges.evacuatedDomains);
     for (const auto &[kind, age] : gauges.copyAgeSeconds) {
         this->state->gauges.Add({{"name", kind + "_copy_age_seconds"}}).Set(age);
     }
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -16,6 +16,7 @@
     double configurationVersion = 0;
     double configurationAgeSeconds = 0;
     double endpoints = 0;
+    double evacuatedDomains = 0;
     /// Time since the copy of each catalog kind was last known to match the store, by kind name.
     std::map<std::string, double> copyAgeSeconds;
     /// Bytes of requests and answers that are held, by use.
@@ -49,6 +50,8 @@
     void recordSilence(const std::string &route, const char *action, const char *obstacle);
     /// Counts bytes that were not held for lack of memory; `use` as in memoryUseName.
     void recordMemoryRefusal(const char *use);
+    /// Counts a request to the service that was refused since placement allows none of its endpoints; `cause` as in placementObstacleName.
+    void recordPlacementRefusal(const std::string &service, const char *cause);
     /// Sets the numbers of answers and of failures that this instance has counted for a version under trial.
     void setTrialAnswers(const std::string &service, const std::string &version, double answers, double failures);
     std::string toText(const EntryGauges &gauges);
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -81,7 +81,7 @@
     , reloadSignals(this->context, SIGHUP)
 {
     this->callers.setBodyAdmission([this](const HttpRequest &head) { return admitBody(this->state, head); });
-    for (const CatalogKind kind : {CatalogKind::Configuration, CatalogKind::Endpoints, CatalogKind::Rollouts}) {
+    for (const CatalogKind kind : this->state.followedKinds()) {
         this->followers.push_back(std::make_unique<CatalogFollower>(this->context, this->catalog, this->state, kind));
     }
     std::vector<CatalogFollower *> relayed;
@@ -136,6 +136,7 @@
         gauges.copyAgeSeconds[catalogKindName(kind)] = std::chrono::duration<double>(monotonicNow() - freshness.confirmedAt).count();
     }
     gauges.endpoints = static_cast<double>(this->state.endpoints.size());
+    gauges.evacuatedDomains = static_cast<double>(this->state.failureDomains.evacuated.size());
     gauges.ignoredItems = this->state.ignoredItems.counts();
     for (const MemoryUse use : memoryUses) {
         gauges.memoryHeldBytes[memoryUseName(use)] = static_cast<double>(this->state.memory.held(use));
--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -154,7 +154,7 @@
         << "evacuation_limit_ms: " << milliseconds(settings.evacuationLimit) << "\n"
         << "learned_capacity: " << switchText(settings.learnsCapacity) << "\n"
         << "overload_control: " << switchText(settings.controlsOverload) << "\n"
-        << "domain_regions:\n";
+        << (settings.domainRegions.empty() ? "domain_regions: []\n" : "domain_regions:\n");
     for (const auto &[domain, region] : settings.domainRegions) {
         out << "  - " << domain << "=" << region << "\n";
     }
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -23,14 +23,25 @@
     , memory(memoryLimits(static_cast<std::size_t>(this->settings.memoryLimitMb) * bytesInMb / memoryCapacityDivisor))
     , endpoints(reregistrationTime)
     , versions(this->settings.exposureShare, static_cast<double>(this->settings.exposureTolerance), this->settings.sessionLifetime)
+    , followsEvacuations(this->settings.evacuationLimit > Duration::zero())
+    , failureDomains {{}, this->settings.domainRegions}
     , chooser(this->settings.failureDomain)
     , random(systemSeededRandomSource())
 {
 }
 
+std::vector<CatalogKind> EntryState::followedKinds() const
+{
+    std::vector<CatalogKind> kinds {CatalogKind::Configuration, CatalogKind::Endpoints, CatalogKind::Rollouts};
+    if (this->followsEvacuations) {
+        kinds.push_back(CatalogKind::Evacuations);
+    }
+    return kinds;
+}
+
 bool EntryState::hasLoadedCatalog() const
 {
-    return this->routes && this->endpointsKnown && this->rolloutsKnown;
+    return this->routes && this->endpointsKnown && this->rolloutsKnown && (this->evacuationsKnown || !this->followsEvacuations);
 }
 
 bool EntryState::isReady(MonotonicTime now) const
@@ -40,12 +51,17 @@
 
 CatalogLimits EntryState::catalogLimits() const
 {
-    return Godwitfork::catalogLimits(std::min(this->settings.drainLimit, this->settings.configurationLimit));
+    Duration shortest = std::min(this->settings.drainLimit, this->settings.configurationLimit);
+    if (this->followsEvacuations && this->settings.evacuationLimit > Duration::zero()) {
+        shortest = std::min(shortest, this->settings.evacuationLimit);
+    }
+    return Godwitfork::catalogLimits(shortest);
 }
 
 void EntryState::adoptSettings(EntrySettings newSettings)
 {
     this->settings = std::move(newSettings);
+    this->failureDomains.regions = this->settings.domainRegions;
     for (auto &[service, budget] : this->retryBudgets) {
         this->applyRetryRule(service, budget);
     }
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -17,6 +17,7 @@
 #include "LibGateway/StopRules.h"
 #include "LibGateway/StoreProbe.h"
 #include "LibGateway/VersionPolicy.h"
+#include "LibPlacement/Placement.h"
 #include "LibRouting/RetryBudget.h"
 
 #include <map>
@@ -51,6 +52,10 @@
     std::vector<std::pair<LeavingEndpoint, MonotonicTime>> recentlyRemoved;
     VersionPolicy versions;
     bool rolloutsKnown = false;
+    /// Whether evacuations are read from the store; decided at the start.
+    bool followsEvacuations = false;
+    bool evacuationsKnown = false;
+    FailureDomains failureDomains;
     /// Serialised store object of the configuration in force.
     std::string configurationSource;
     EndpointChooser chooser;
@@ -74,7 +79,9 @@
     std::optional<StopSchedule> stop;
     StopCounts stopCounts;
 
-    /// Whether the configuration, endpoints and roll-outs have all been read from the store.
+    /// Kinds of store object that this instance keeps up to date.
+    std::vector<CatalogKind> followedKinds() const;
+    /// Whether every kind that is followed has been read from the store.
     bool hasLoadedCatalog() const;
     /// Whether new callers may be sent to this instance.
     bool isReady(MonotonicTime now) const;
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -211,6 +211,7 @@
 {
     const MonotonicTime now = monotonicNow();
     std::vector<const EndpointEntry *> endpoints = this->state.endpoints.ready(this->service);
+    std::erase_if(endpoints, [&](const EndpointEntry *endpoint) { return this->placementObstacle(*endpoint) != PlacementObstacle::None; });
     std::erase_if(endpoints, [&](const EndpointEntry *endpoint) {
         return this->state.announcements.timeToRequest(endpoint->id, endpoint->incarnation, now) > Duration::zero();
     });
@@ -223,7 +224,8 @@
     Duration earliest = Duration::max();
     for (const EndpointEntry *endpoint : this->state.endpoints.ready(this->service)) {
         const Duration time = this->state.announcements.timeToRequest(endpoint->id, endpoint->incarnation, now);
-        earliest = time > Duration::zero() ? std::min(earliest, time) : earliest;
+        const bool isAllowed = this->placementObstacle(*endpoint) == PlacementObstacle::None;
+        earliest = isAllowed && time > Duration::zero() ? std::min(earliest, time) : earliest;
     }
     return earliest == Duration::max() ? Duration::zero() : earliest;
 }
@@ -565,15 +567,6 @@
         this->currentAttempt->ticket, this->currentAttempt->query, this->currentAttempt->choice, this->currentAttempt->started, now, this->observationUse());
 }
 
-void RequestRun::recordOutputSpeed(std::int64_t events, Duration elapsed)
-{
-    const ServiceProperties *properties = this->routes->findService(this->service);
-    if (properties && properties->engine && events > 1 && this->observationUse() == ObservationUse::Service) {
-        const std::int64_t tokens = (events - 1) * properties->engine->tokensPerEvent;
-        this->state.chooser.speeds().recordOutput(this->service, this->currentAttempt->query.model, tokens, elapsed);
-    }
-}
-
 RetryConditions RequestRun::retryMeans(const std::vector<const EndpointEntry *> &endpoints)
 {
     RetryConditions means;
@@ -591,6 +584,9 @@
     if (step == NextStep::Deliver && !this->bufferedAnswer) {
         step = NextStep::Fail;
     }
+    if (step == NextStep::RefuseNotRun) {
+        this->recordPlacementRefusal();
+    }
     if (step == NextStep::Deliver && this->bufferedAnswer) {
         HttpResponse response;
         response.status = this->bufferedAnswer->status;
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -104,8 +104,11 @@
     bool escalate(const AnswerMetadata &answer);
     void endAttempt(EndpointResult result);
     std::vector<const EndpointEntry *> candidates(bool hasFailed) const;
-    /// Ready endpoints of the service that this instance may send a request to now, by what they say of themselves.
+    /// Ready endpoints of the service that this instance may send the request to now, by placement and by what they say of themselves.
     std::vector<const EndpointEntry *> availableEndpoints() const;
+    PlacementObstacle placementObstacle(const EndpointEntry &endpoint) const;
+    /// Counts and logs a refusal if placement allows none of the service's ready endpoints, and sets its reason.
+    void recordPlacementRefusal();
     /// Time until the first endpoint that is closed or at its limit takes a request of this instance; zero if there is none, or if other instances
     /// send them.
     Duration timeToAvailableEndpoint() const;
--- a/Libraries/LibEntry/RequestRunEvidence.cpp
+++ b/Libraries/LibEntry/RequestRunEvidence.cpp
@@ -161,6 +161,15 @@
     return isTrial ? ObservationUse::Endpoint : ObservationUse::Service;
 }
 
+void RequestRun::recordOutputSpeed(std::int64_t events, Duration elapsed)
+{
+    const ServiceProperties *properties = this->routes->findService(this->service);
+    if (properties && properties->engine && events > 1 && this->observationUse() == ObservationUse::Service) {
+        const std::int64_t tokens = (events - 1) * properties->engine->tokensPerEvent;
+        this->state.chooser.speeds().recordOutput(this->service, this->currentAttempt->query.model, tokens, elapsed);
+    }
+}
+
 void RequestRun::recordPromptCrash(const AttemptOutcome &outcome)
 {
     if (outcome.end != AttemptEnd::Lost || !outcome.isConnectionLost || this->currentAttempt->firstOutput || this->gatewayRequest.promptParts.empty()) {
--- a/Libraries/LibGateway/Catalog.cpp
+++ b/Libraries/LibGateway/Catalog.cpp
@@ -27,6 +27,8 @@
         return "endpoints";
     case CatalogKind::Rollouts:
         return "rollouts";
+    case CatalogKind::Evacuations:
+        return "evacuations";
     }
     return "configuration";
 }
--- a/Libraries/LibGateway/Catalog.h
+++ b/Libraries/LibGateway/Catalog.h
@@ -36,11 +36,19 @@
     auto operator<=>(const RolloutOrder &) const = default;
 };
 
-enum class CatalogKind { Configuration, Endpoints, Rollouts };
+/// An operator's request that the endpoints of a failure domain get no further requests.
+struct Evacuation {
+    std::string failureDomain;
+
+    auto operator<=>(const Evacuation &) const = default;
+};
+
+/// The values are used in the frames that instances exchange, so new kinds are appended.
+enum class CatalogKind { Configuration, Endpoints, Rollouts, Evacuations };
 
 const char *catalogKindName(CatalogKind kind);
 
-using CatalogObject = std::variant<std::shared_ptr<const RouteConfiguration>, EndpointEntry, RolloutOrder>;
+using CatalogObject = std::variant<std::shared_ptr<const RouteConfiguration>, EndpointEntry, RolloutOrder, Evacuation>;
 
 /// Why an object of the store, or an item of another instance's message, is not understood.
 enum class ItemFault {
--- a/Libraries/LibGateway/CatalogHistory.cpp
+++ b/Libraries/LibGateway/CatalogHistory.cpp
@@ -73,7 +73,7 @@
         const int type = json.at(0).get<int>();
         const int kind = json.at(1).get<int>();
         if (type < static_cast<int>(RelayFrame::Type::Alive) || type > static_cast<int>(RelayFrame::Type::Withheld)
-            || kind < static_cast<int>(CatalogKind::Configuration) || kind > static_cast<int>(CatalogKind::Rollouts)) {
+            || kind < static_cast<int>(CatalogKind::Configuration) || kind > static_cast<int>(CatalogKind::Evacuations)) {
             return std::nullopt;
         }
         frame.type = static_cast<RelayFrame::Type>(type);
--- a/Libraries/LibGateway/RouteConfiguration.h
+++ b/Libraries/LibGateway/RouteConfiguration.h
@@ -56,6 +56,8 @@
     int attemptLimit = 1;
     /// Whether requests need no API key.
     bool isPublic = false;
+    /// Regions whose endpoints the route's requests may reach; empty if all may be reached.
+    std::vector<std::string> homeRegions;
 
     auto operator<=>(const Route &) const = default;
 };
@@ -96,6 +98,8 @@
     std::vector<std::string> keys;
     /// Priority of the account's requests, which overrides the route's.
     std::optional<int> priority;
+    /// Regions whose endpoints the account's requests may reach, in addition to the route's restriction; empty if all may be reached.
+    std::vector<std::string> homeRegions;
 
     auto operator<=>(const ClientAccount &) const = default;
 };
--- a/Tests/LibEntry/TestCatalogChanges.cpp
+++ b/Tests/LibEntry/TestCatalogChanges.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <set>
+
 using namespace Godwitfork;
 using namespace std::chrono_literals;
 
@@ -92,6 +94,33 @@
     CHECK_FALSE(state.versions.rollouts().contains("pool"));
 }
 
+TEST_CASE("An entry of an evacuation that is not understood changes nothing, and one of an unknown failure domain is kept", "[catalog]")
+{
+    // Guards against EVAC: an entry that was overwritten ended the evacuation, or one of another writer hid the others.
+    EntryState state {EntrySettings()};
+    const auto text = [](const std::string &name, const std::string &spec) {
+        return R"({"metadata":{"name":")" + name + R"(","revision":3},"spec":)" + spec + "}";
+    };
+    const auto events = [&](const std::string &items) { applyEvents(state, CatalogKind::Evacuations, items, {}, start); };
+    const std::set<std::string> known {"a", "nowhere"};
+    events(R"({"object":)" + text("a", "{}") + R"(},{"object":)" + text("nowhere", "{}") + "}");
+    CHECK(state.failureDomains.evacuated == known);
+    for (const std::string spec : {"7", "null", "[]", "\"x\"", "\"\xff\"", "{\"a\":1,\"a\":2}"}) {
+        INFO(spec);
+        events(R"({"object":)" + text("a", spec) + R"(},{"object":)" + text("b", spec) + "}");
+        CHECK(state.failureDomains.evacuated == known);
+    }
+    events(R"({"object":)" + text("", "{}") + R"(},7,{"object":{"metadata":{"name":"b"}}})");
+    CHECK(state.failureDomains.evacuated == known);
+    CHECK(state.ignoredItems.counts().at({"evacuations", "missing_field"}) == 1);
+    CHECK(state.ignoredItems.counts().at({"evacuations", "duplicate_field"}) == 2);
+    applyEvacuationList(state, listPage(CatalogKind::Evacuations, text("a", "7") + "," + text("b", "{}") + "," + text("c", "7")), start);
+    CHECK(state.failureDomains.evacuated == std::set<std::string> {"a", "b"});
+    CHECK(state.evacuationsKnown);
+    events(R"({"deleted":true,"object":)" + text("a", "7") + "}");
+    CHECK(state.failureDomains.evacuated == std::set<std::string> {"b"});
+}
+
 TEST_CASE("A follower understands the same entries of a relayed page as its hub", "[catalog]")
 {
     // Guards against requests to endpoints that no entry names (ROUTE): the hub's frame replaced unreadable bytes by a readable character.
--- a/Tests/LibEntry/TestEntryState.cpp
+++ b/Tests/LibEntry/TestEntryState.cpp
@@ -65,6 +65,35 @@
     CHECK_FALSE(hasRetry(entry.state.retryBudget("pool"), now));
 }
 
+TEST_CASE("The shortest of the limits that are in force governs the age of copies", "[state]")
+{
+    // Guards against EVAC: copies that may be older than the limit of evacuations, and store calls of deployments that have none.
+    EntrySettings settings;
+    settings.drainLimit = std::chrono::seconds(6);
+    settings.configurationLimit = std::chrono::seconds(7);
+    CHECK(EntryState(settings).catalogLimits() == catalogLimits(std::chrono::seconds(6)));
+    CHECK(EntryState(settings).followedKinds().size() == 3);
+    settings.evacuationLimit = std::chrono::seconds(2);
+    CHECK(EntryState(settings).catalogLimits() == catalogLimits(std::chrono::seconds(2)));
+    CHECK(EntryState(settings).followedKinds().back() == CatalogKind::Evacuations);
+    settings.evacuationLimit = std::chrono::seconds(9);
+    CHECK(EntryState(settings).catalogLimits() == catalogLimits(std::chrono::seconds(6)));
+}
+
+TEST_CASE("A reload that asks for evacuations waits for the next start, and one that moves a failure domain does not", "[state]")
+{
+    // Guards against an instance that is never ready again, since it awaits a kind that it does not follow.
+    EntryFixture entry;
+    entry.setRoute(makeRoute(RepeatRule::Idempotent, 1));
+    EntrySettings settings(entry.state.settings);
+    settings.evacuationLimit = std::chrono::seconds(2);
+    settings.domainRegions = {{"a", "north"}};
+    entry.state.adoptSettings(settings);
+    CHECK(entry.state.hasLoadedCatalog());
+    CHECK(entry.state.catalogLimits() == catalogLimits(settings.drainLimit));
+    CHECK(entry.state.failureDomains.regions == settings.domainRegions);
+}
+
 TEST_CASE("A reload of the settings replaces the limits of the retry budgets", "[state]")
 {
     // Guards against limits that stay as they were until the process starts again.
--- a/Tests/LibGateway/TestCatalogHistory.cpp
+++ b/Tests/LibGateway/TestCatalogHistory.cpp
@@ -39,7 +39,9 @@
     CHECK(decodeRelayFrame(encodeRelayFrame(RelayFrame())) == RelayFrame());
     const RelayFrame alive {RelayFrame::Type::Alive, CatalogKind::Configuration, {}, 17, std::chrono::milliseconds(250)};
     CHECK(decodeRelayFrame(encodeRelayFrame(alive)) == alive);
-    for (const std::string text : {"", "[]", "[9,0]", "[0,9]", "[0,1]", "[0,1,7]", "[1,0,1]", "{}", "[1,0,\"x\",2,\"y\"]"}) {
+    const RelayFrame evacuations {RelayFrame::Type::Page, CatalogKind::Evacuations, {3, 9, "{}"}};
+    CHECK(decodeRelayFrame(encodeRelayFrame(evacuations)) == evacuations);
+    for (const std::string text : {"", "[]", "[9,0]", "[0,9]", "[0,4,1,1]", "[0,1]", "[0,1,7]", "[1,0,1]", "{}", "[1,0,\"x\",2,\"y\"]"}) {
         CHECK_FALSE(decodeRelayFrame(text));
     }
 }
--- a/Tests/Platform/TestCatalogDecoder.cpp
+++ b/Tests/Platform/TestCatalogDecoder.cpp
@@ -74,6 +74,57 @@
     CHECK(*std::get<std::shared_ptr<const RouteConfiguration>>(*Platform::decodeConfigurationSource(change.source).object) == configuration);
 }
 
+TEST_CASE("The home regions of routes and accounts are decoded, and malformed ones make the configuration not understood", "[platform]")
+{
+    // Guards against HOME: a restriction that is not understood must not be taken for none.
+    nlohmann::json object = configurationObject();
+    const auto decoded = [&] { return Platform::decodeObject(CatalogKind::Configuration, object); };
+    const auto configuration = [&] { return *std::get<std::shared_ptr<const RouteConfiguration>>(*decoded().object); };
+    CHECK(configuration().routes.at(0).homeRegions.empty());
+    CHECK(configuration().accounts.at(0).homeRegions.empty());
+    object["spec"]["routes"][0]["allowedRegions"] = {"north", "south"};
+    object["spec"]["tenants"][0]["allowedRegions"] = {"south"};
+    CHECK(configuration().routes.at(0).homeRegions == std::vector<std::string> {"north", "south"});
+    CHECK(configuration().accounts.at(0).homeRegions == std::vector<std::string> {"south"});
+    for (const char *part : {"routes", "tenants"}) {
+        for (const nlohmann::json &odd : std::vector<nlohmann::json> {"north", 7, {7}, {{"north", true}}, nullptr, {nullptr}}) {
+            INFO(part << odd.dump());
+            object = configurationObject();
+            object["spec"][part][0]["allowedRegions"] = odd;
+            CHECK_FALSE(decoded().object);
+            CHECK(decoded().fault == ItemFault::WrongType);
+        }
+    }
+}
+
+TEST_CASE("An evacuation is decoded by its name, and one without a name or a specification is not understood", "[platform]")
+{
+    const nlohmann::json object = {{"metadata", {{"name", "zone-1"}, {"revision", 4}}}, {"spec", nlohmann::json::object()}};
+    const CatalogChange change = Platform::decodeObject(CatalogKind::Evacuations, object);
+    REQUIRE(change.object);
+    CHECK(std::get<Evacuation>(*change.object).failureDomain == "zone-1");
+    CHECK(std::string(Platform::kindPath(CatalogKind::Evacuations)) == "evacuations");
+    nlohmann::json extended = object;
+    extended["spec"]["reason"] = "fire";
+    CHECK(Platform::decodeObject(CatalogKind::Evacuations, extended).object);
+    for (const nlohmann::json &spec : std::vector<nlohmann::json> {7, nullptr, nlohmann::json::array(), "x"}) {
+        nlohmann::json odd = object;
+        odd["spec"] = spec;
+        CHECK_FALSE(Platform::decodeObject(CatalogKind::Evacuations, odd).object);
+        CHECK(Platform::decodeObject(CatalogKind::Evacuations, odd).fault == ItemFault::InvalidValue);
+    }
+    nlohmann::json nameless = object;
+    nameless["metadata"]["name"] = "";
+    CHECK_FALSE(Platform::decodeObject(CatalogKind::Evacuations, nameless).object);
+    nlohmann::json bare = object;
+    bare.erase("spec");
+    CHECK(Platform::decodeObject(CatalogKind::Evacuations, bare).fault == ItemFault::MissingField);
+    nlohmann::json removed = object;
+    removed["metadata"]["deletionPending"] = true;
+    CHECK_FALSE(Platform::decodeObject(CatalogKind::Evacuations, removed).object);
+    CHECK(Platform::decodeObject(CatalogKind::Evacuations, removed).fault == ItemFault::None);
+}
+
 TEST_CASE("A malformed registration yields no endpoint and describes the problem", "[platform]")
 {
     // Entries from other writers may have missing fields, wrong types or unknown values.
--- a/Tests/Platform/TestDecoderFuzz.cpp
+++ b/Tests/Platform/TestDecoderFuzz.cpp
@@ -92,7 +92,8 @@
                          {"priority", 1},
                          {"sizes", {"m0", "m1"}},
                          {"split", {{{"service", "x"}, {"weight", 90}}, {{"service", "y"}, {"weight", 10}}}},
-                         {"maxAttempts", 3}};
+                         {"maxAttempts", 3},
+                         {"allowedRegions", {"north", "south"}}};
     const Json plain = {{"name", "q"}, {"host", "h.example"}, {"pathPrefix", "/b/"}, {"type", "idempotent"}, {"timeoutMs", 900}, {"service", "y"}};
     const Json service = {{"name", "x"},
                           {"healthPath", "/healthz"},
@@ -102,10 +103,19 @@
                        {"routes", {stream, plain}},
                        {"services", {service}},
                        {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}},
-                       {"tenants", {{{"name", "t"}, {"apiKeys", {"k1", "k2"}}, {"priority", 1}}}}};
+                       {"tenants", {{{"name", "t"}, {"apiKeys", {"k1", "k2"}}, {"priority", 1}, {"allowedRegions", {"south"}}}}}};
     return {Json {{"metadata", {{"name", "main"}, {"revision", 3}}}, {"spec", spec}}, Json {{"metadata", {{"name", "main"}, {"revision", 4}}}, {"spec", spec}}};
 }
 
+std::vector<Json> evacuationItems()
+{
+    std::vector<Json> items;
+    for (const std::string name : {"a", "b", "c"}) {
+        items.push_back({{"metadata", {{"name", name}, {"revision", 5}, {"finalizers", Json::array()}}}, {"spec", Json::object()}, {"status", nullptr}});
+    }
+    return items;
+}
+
 /// Texts that may stand in place of a value without breaking the strings and the nesting around it.
 std::string oddText(Random &random)
 {
@@ -235,6 +245,9 @@
     if (const auto *order = std::get_if<RolloutOrder>(&object)) {
         return isValidName(order->service) && isValidName(order->target) && order->timeLimit >= Duration::zero();
     }
+    if (const auto *evacuation = std::get_if<Evacuation>(&object)) {
+        return isValidName(evacuation->failureDomain);
+    }
     const auto &configuration = std::get<std::shared_ptr<const RouteConfiguration>>(object);
     return configuration && configuration->version >= 0 && std::all_of(configuration->routes.begin(), configuration->routes.end(), [](const Route &route) {
                return route.timeout >= Duration::zero() && !route.services.empty();
@@ -381,17 +394,19 @@
     const std::vector<Json> endpoints = endpointItems();
     const std::vector<Json> rollouts = rolloutItems();
     const std::vector<Json> configurations = configurationItems();
+    const std::vector<Json> evacuations = evacuationItems();
     fuzz("store objects", 1500, [&](Random &random) {
         fuzzCatalog(CatalogKind::Endpoints, endpoints, random);
         fuzzCatalog(CatalogKind::Rollouts, rollouts, random);
         fuzzCatalog(CatalogKind::Configuration, configurations, random);
+        fuzzCatalog(CatalogKind::Evacuations, evacuations, random);
     });
 }
 
 TEST_CASE("Damaged answers of the store and frames of a hub are refused or decoded without an exception", "[fuzz]")
 {
     const std::string body = R"({"events":[{"object":)" + endpointItems()[0].dump() + R"(},{"deleted":true,"object":)" + rolloutItems()[0].dump()
-        + R"(},{"object":)" + configurationItems()[0].dump() + R"(}],"entries":[],"hasMore":true,"at":7})";
+        + R"(},{"object":)" + configurationItems()[0].dump() + R"(},{"object":)" + evacuationItems()[0].dump() + R"(}],"entries":[],"hasMore":true,"at":7})";
     const std::string frame = encodeRelayFrame({RelayFrame::Type::Page, CatalogKind::Endpoints, {3, 9, body}});
     fuzz("damaged texts", 20000, [&](Random &random) {
         for (std::string text : {body, frame}) {
@@ -399,7 +414,7 @@
                 text[random() % text.size()] = static_cast<char>(random());
             }
             text.resize(random() % 4 == 0 ? random() % text.size() : text.size());
-            for (const CatalogKind kind : {CatalogKind::Configuration, CatalogKind::Endpoints, CatalogKind::Rollouts}) {
+            for (const CatalogKind kind : {CatalogKind::Configuration, CatalogKind::Endpoints, CatalogKind::Rollouts, CatalogKind::Evacuations}) {
                 (void)Platform::decodeList(kind, text);
                 const auto page = Platform::decodeEvents(kind, text);
                 for (const CatalogChange &change : page ? page.value().changes : std::vector<CatalogChange>()) {
