--- a/Tests/Soak/EntryFleet.cpp
+++ b/Tests/Soak/EntryFleet.cpp
@@ -25,6 +25,7 @@
 /// The balancer takes an instance out after so many checks without a 200, one a second.
 constexpr int missesUntilOut = 2;
 constexpr Duration checkInterval = std::chrono::seconds(1);
+constexpr Duration defaultChangeLimit = std::chrono::seconds(2);
 constexpr Duration pollInterval = std::chrono::milliseconds(20);
 /// Below the ports that the kernel gives to outgoing connections, so that a replaced instance finds its ports free.
 constexpr std::uint16_t firstPort = 20000;
@@ -70,11 +71,14 @@
 {
     const auto index = &instance - this->instances.data();
     std::ofstream file(instance.settingsFile);
+    const Duration evacuationLimit = this->settings.evacuationLimit;
+    const auto changeLimit = toMilliseconds(evacuationLimit > Duration::zero() ? evacuationLimit : defaultChangeLimit);
     file << "instance: " << instance.name << "\nfailure_domain: d" << index % this->settings.failureDomains << "\nlisten: " << toText(instance.callers)
          << "\nreadiness_listen: " << toText(instance.readiness) << "\npeer_listen: " << toText(instance.peers)
          << "\nmetrics_listen: " << toText(instance.metrics) << "\nstore: " << toText(this->settings.store) << "\nstop_limit_s: " << this->settings.stopLimit
-         << "\nretry_ratio: 0.9\nretry_allowance: " << instance.retryAllowance << "\nretry_window_s: 10\ndrain_limit_ms: 2000\nconfiguration_limit_ms: 2000"
-         << "\nseeds: [" << toText(this->instances.front().peers) << ", " << toText(this->instances.back().peers) << "]\n";
+         << "\nretry_ratio: 0.9\nretry_allowance: " << instance.retryAllowance << "\nretry_window_s: 10\ndrain_limit_ms: " << changeLimit
+         << "\nconfiguration_limit_ms: " << changeLimit << "\nevacuation_limit_ms: " << toMilliseconds(evacuationLimit) << "\nseeds: ["
+         << toText(this->instances.front().peers) << ", " << toText(this->instances.back().peers) << "]\n";
 }
 
 void EntryFleet::confine(const ChildProcess &process) const
--- a/Tests/Soak/EntryFleet.h
+++ b/Tests/Soak/EntryFleet.h
@@ -23,6 +23,8 @@
     double stopLimit = 8;
     /// Cores that all instances share, from the first; 0 for all cores of the machine.
     int cores = 0;
+    /// Time limit of evacuations, of leaving endpoints and of configurations; 0 if the fleet follows no evacuations.
+    Duration evacuationLimit {};
 };
 
 /// SIGSTOP for a while, as where an instance gets no processor time. By itself this is no planned work but a disruption.
--- a/Tests/Soak/PlannedWorkRun.cpp
+++ b/Tests/Soak/PlannedWorkRun.cpp
@@ -14,6 +14,7 @@
 
 #include <fstream>
 #include <iostream>
+#include <map>
 
 namespace Godwitfork
 {
@@ -79,6 +80,7 @@
     fleetSettings.failureDomains = settings.failureDomains;
     fleetSettings.store = this->store.address();
     fleetSettings.cores = settings.cores;
+    fleetSettings.evacuationLimit = settings.evacuationLimit;
     this->entries = std::make_unique<EntryFleet>(this->context, this->random, std::move(fleetSettings), this->folder);
     this->entries->start();
     for (int i = 0; i < settings.cores * settings.busyThreads; ++i) {
@@ -119,6 +121,11 @@
                      {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}});
 }
 
+std::string PlannedWorkRun::domainOfEndpoint(std::size_t index) const
+{
+    return "d" + std::to_string(index % static_cast<std::size_t>(this->settings.failureDomains));
+}
+
 void PlannedWorkRun::registerEndpoints()
 {
     for (std::size_t i = 0; i < this->servers.size(); ++i) {
@@ -127,7 +134,7 @@
                         this->servers[i].id(),
                         {{"service", isEngine ? engineService : plainService},
                          {"address", toText(this->servers[i].address())},
-                         {"zone", "d" + std::to_string(i % static_cast<std::size_t>(this->settings.failureDomains))},
+                         {"zone", this->domainOfEndpoint(i)},
                          {"version", "v1"},
                          {"slots", 64},
                          {"state", "ready"},
@@ -177,6 +184,22 @@
     this->entries->addWork({WorkKind::Configuration, -1, monotonicNow()});
 }
 
+void PlannedWorkRun::evacuate(const std::string &failureDomain)
+{
+    this->store.put("evacuations", failureDomain, nlohmann::json::object());
+    this->evacuations.push_back({failureDomain, monotonicNow(), std::nullopt});
+}
+
+void PlannedWorkRun::endEvacuation(const std::string &failureDomain)
+{
+    this->store.remove("evacuations", failureDomain);
+    for (EvacuationTimes &evacuation : this->evacuations) {
+        if (evacuation.failureDomain == failureDomain && !evacuation.end) {
+            evacuation.end = monotonicNow();
+        }
+    }
+}
+
 PlannedWorkRun::Call PlannedWorkRun::makeCall(const std::string &client)
 {
     static constexpr const char *names[] = {"stream", "order", "lookup"};
@@ -323,6 +346,26 @@
     return losses;
 }
 
+std::vector<Arrival> PlannedWorkRun::arrivals() const
+{
+    std::map<std::string, std::string> domains;
+    for (std::size_t i = 0; i < this->servers.size(); ++i) {
+        domains[this->servers[i].id()] = this->domainOfEndpoint(i);
+    }
+    std::vector<Arrival> result = this->book.arrivals();
+    for (Arrival &arrival : result) {
+        arrival.failureDomain = domains.at(arrival.endpoint);
+    }
+    return result;
+}
+
+std::vector<Arrival> PlannedWorkRun::lateArrivals(const std::vector<Disruption> &disruptions) const
+{
+    EvacuationBounds bounds;
+    bounds.limit = this->settings.evacuationLimit;
+    return findLateArrivals(this->arrivals(), this->evacuations, this->book.records(), disruptions, bounds);
+}
+
 void PlannedWorkRun::keepLogs(const std::string &target) const
 {
     this->entries->keepLogs(target);
--- a/Tests/Soak/PlannedWorkRun.h
+++ b/Tests/Soak/PlannedWorkRun.h
@@ -27,6 +27,8 @@
     /// Cores that the instances share, 0 for all, and the busy threads on each of these.
     int cores = 0;
     int busyThreads = 0;
+    /// 0 if the instances follow no evacuations.
+    Duration evacuationLimit {};
     EndpointManners manners;
     /// Shares of requests whose header arrives in two halves and of slow readers.
     double slowSenders = 0.1;
@@ -52,12 +54,19 @@
     void burst(int instance, int count, Duration spread = Duration::zero());
     /// Puts a new configuration, with one more route and other limits, into the store.
     void changeConfiguration();
+    /// Writes or removes the evacuation of a failure domain, `d0` and so on.
+    void evacuate(const std::string &failureDomain);
+    void endEvacuation(const std::string &failureDomain);
     /// Plays the work beside the clients, and waits until all requests have ended.
     void play(std::function<boost::asio::awaitable<void>()> work);
 
     const RequestBook &requests() const;
     /// Losses of the run, each with its time line on standard output.
     std::vector<Loss> losses(const std::vector<Disruption> &disruptions) const;
+    /// Requests that endpoints have read.
+    std::vector<Arrival> arrivals() const;
+    /// Arrivals at evacuated failure domains after the limit.
+    std::vector<Arrival> lateArrivals(const std::vector<Disruption> &disruptions) const;
     void keepLogs(const std::string &target) const;
 
 private:
@@ -70,6 +79,7 @@
 
     void putConfiguration();
     void registerEndpoints();
+    std::string domainOfEndpoint(std::size_t index) const;
     Call makeCall(const std::string &client);
     boost::asio::awaitable<void> clientLoop(int number);
     boost::asio::awaitable<void> useConnection(std::string client, int instance, int requests, Duration before);
@@ -87,6 +97,7 @@
     std::unique_ptr<EntryFleet> entries;
     std::vector<std::thread> busy;
     std::atomic<bool> isBusy = true;
+    std::vector<EvacuationTimes> evacuations;
     int configurationVersion = 1;
     int calls = 0;
     int running = 0;
--- a/Tests/Soak/RequestBook.cpp
+++ b/Tests/Soak/RequestBook.cpp
@@ -7,6 +7,7 @@
 {
     this->promises.ran(id, mayRepeat);
     const MonotonicTime now = monotonicNow();
+    this->reads.push_back({id, endpoint, {}, now});
     Runs &of = this->runs.try_emplace(id, Runs {now, std::nullopt, false, {}}).first->second;
     of.left.reset();
     of.isBrokenOff = false;
@@ -41,6 +42,11 @@
     return this->promises.served();
 }
 
+const std::vector<Arrival> &RequestBook::arrivals() const
+{
+    return this->reads;
+}
+
 std::vector<RequestRecord> RequestBook::records() const
 {
     std::vector<RequestRecord> result = this->ends;
--- a/Tests/Soak/RequestBook.h
+++ b/Tests/Soak/RequestBook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EvacuationRules.h"
 #include "LossRules.h"
 #include "Promises.h"
 
@@ -29,6 +30,9 @@
     /// Requests that got an endpoint's answer with status 200.
     int served() const;
 
+    /// Requests that endpoints have read, without the failure domains of the endpoints.
+    const std::vector<Arrival> &arrivals() const;
+
     /// All requests that ended at their clients, with what the endpoints saw.
     std::vector<RequestRecord> records() const;
 
@@ -43,6 +47,7 @@
 
     std::map<std::string, Runs> runs;
     std::vector<RequestRecord> ends;
+    std::vector<Arrival> reads;
     Promises promises;
 };
 
