--- a/Libraries/LibEntry/RequestRunCold.cpp
+++ b/Libraries/LibEntry/RequestRunCold.cpp
@@ -18,7 +18,8 @@
         const Duration announced = this->state.announcements.timeToRequest(endpoint->id, endpoint->incarnation, now);
         const Duration cold = isBounded(rule) ? this->state.coldStarts.timeToRequest(endpoint->id, rule, now) : Duration::zero();
         const Duration time = std::max(announced, cold);
-        earliest = time > Duration::zero() ? std::min(earliest, time) : earliest;
+        const bool isAllowed = this->placementObstacle(*endpoint) == PlacementObstacle::None;
+        earliest = isAllowed && time > Duration::zero() ? std::min(earliest, time) : earliest;
     }
     return earliest == Duration::max() ? Duration::zero() : earliest;
 }
