Spread requests over endpoints by what the other instances send unseen

Requests are drawn so that all instances together level the endpoints' costs; cached prompts and the own failure domain keep their preference. On only with learned_capacity.

--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/EndpointChooser.h"
 
+#include "LibCapacity/LoadSpread.h"
 #include "LibCore/Digest.h"
 
 #include <algorithm>
@@ -37,6 +38,9 @@
 /// Scores are multiplied by a random factor between 1 and 1 + scoreJitter, so that instances with the same view do not all choose one endpoint.
 constexpr double scoreJitter = 0.1;
 
+/// Time for which the other instances' requests are not seen in the load of endpoints: the age of summaries.
+constexpr Duration unseenTime = std::chrono::seconds(1);
+
 /// Key of the prompt prefix that other requests may share, without the last part, which is the request's own; empty if the prefix is too short.
 std::optional<std::uint64_t> findSharedPrefix(const ChoiceQuery &query, const std::vector<std::uint64_t> &prefixKeys)
 {
@@ -69,6 +73,11 @@
 {
     return std::chrono::duration_cast<Duration>(time * factor);
 }
+
+double toMicroseconds(Duration time)
+{
+    return std::chrono::duration<double, std::micro>(time).count();
+}
 } // namespace
 
 EndpointChooser::EndpointChooser(std::string ownFailureDomain) : ownFailureDomain(std::move(ownFailureDomain))
@@ -103,6 +112,76 @@
     return choice;
 }
 
+Duration EndpointChooser::remoteCost(const EndpointEntry &endpoint, const ChoiceQuery &query) const
+{
+    if (endpoint.failureDomain == this->ownFailureDomain) {
+        return Duration::zero();
+    }
+    return remotePenalty + remotePenaltyPerKilobyte * static_cast<std::int64_t>(query.bodyBytes / bytesPerKilobyte);
+}
+
+EndpointChooser::Candidate EndpointChooser::assess(const EndpointEntry &endpoint, const ChoiceQuery &query, EndpointChoice choice, MonotonicTime now) const
+{
+    const EndpointLoad &load = this->endpointLoads.find(endpoint.id);
+    const Duration idleTime = query.model.empty() ? choice.promptTime : choice.promptTime + load.waitingPromptTime();
+    const double factor = toMicroseconds(choice.firstOutput) / std::max(1.0, toMicroseconds(idleTime));
+    const Duration wholePrompt =
+        query.model.empty() ? choice.promptTime : this->engineSpeeds.promptTime(query.service, query.model, std::max<std::int64_t>(query.promptTokens, 0));
+    const double failureShare = meanWithPrior(load.fleetFailures(now), 0, priorObservations);
+    Candidate candidate;
+    candidate.saving = toMicroseconds(wholePrompt - choice.promptTime) * factor;
+    candidate.cost = (toMicroseconds(choice.firstOutput) + candidate.saving) * (1 + failureWeight * failureShare);
+    if (choice.isHome) {
+        candidate.saving += toMicroseconds(choice.promptTime) * homeSavingShare;
+    }
+    candidate.increment = toMicroseconds(choice.promptTime) * factor / (query.model.empty() ? std::max(1, endpoint.slots) : 1);
+    candidate.remotePenalty = toMicroseconds(this->remoteCost(endpoint, query));
+    if (this->endpointLoads.isAvoided(endpoint.id, now)) {
+        candidate.cost += toMicroseconds(std::chrono::hours(1));
+    }
+    candidate.choice = std::move(choice);
+    return candidate;
+}
+
+std::optional<EndpointChoice> EndpointChooser::chooseSpread(std::vector<Candidate> candidates, const ChoiceQuery &query, RandomSource &random) const
+{
+    std::vector<EndpointCost> all;
+    std::vector<EndpointCost> local;
+    std::vector<std::size_t> localPositions;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        all.push_back({candidates[i].cost, candidates[i].increment});
+        if (candidates[i].remotePenalty == 0) {
+            local.push_back(all.back());
+            localPositions.push_back(i);
+        }
+    }
+    if (all.empty()) {
+        return std::nullopt;
+    }
+    const double unseen = this->endpointLoads.peerRequestsPerSecond(query.service) * std::chrono::duration<double>(unseenTime).count();
+    const double level = costLevel(all, unseen);
+    std::size_t best = drawEndpoint(all, level, random);
+    const auto expectedCost = [&](const Candidate &candidate) { return std::max(candidate.cost, level) - candidate.saving + candidate.remotePenalty; };
+    double bestCost = expectedCost(candidates[best]);
+    if (!local.empty()) {
+        // The instances of each failure domain send to their own endpoints first.
+        const double localLevel = costLevel(local, unseen * static_cast<double>(local.size()) / static_cast<double>(all.size()));
+        const std::size_t position = localPositions[drawEndpoint(local, localLevel, random)];
+        const double localCost = std::max(candidates[position].cost, localLevel) - candidates[position].saving;
+        if (localCost <= bestCost) {
+            best = position;
+            bestCost = localCost;
+        }
+    }
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].saving > 0 && expectedCost(candidates[i]) < bestCost) {
+            best = i;
+            bestCost = expectedCost(candidates[i]);
+        }
+    }
+    return std::move(candidates[best].choice);
+}
+
 std::optional<EndpointChoice>
 EndpointChooser::choose(const std::vector<const EndpointEntry *> &candidates, const ChoiceQuery &query, MonotonicTime now, RandomSource &random) const
 {
@@ -111,6 +190,7 @@
     const std::string home = key ? findHome(candidates, *key) : std::string();
     std::uniform_real_distribution<double> jitter(1, 1 + scoreJitter);
     std::optional<EndpointChoice> best;
+    std::vector<Candidate> spread;
     double bestScore = std::numeric_limits<double>::max();
     for (const EndpointEntry *candidate : candidates) {
         if (query.excluded.contains(candidate->id)) {
@@ -120,12 +200,14 @@
         Duration cost = choice.firstOutput;
         choice.sharedPrefixKey = key;
         choice.isHome = candidate->id == home;
+        if (this->endpointLoads.learnsCapacity()) {
+            spread.push_back(this->assess(*candidate, query, std::move(choice), now));
+            continue;
+        }
         if (choice.isHome) {
             cost -= scaled(choice.promptTime, homeSavingShare);
         }
-        if (candidate->failureDomain != this->ownFailureDomain) {
-            cost += remotePenalty + remotePenaltyPerKilobyte * static_cast<std::int64_t>(query.bodyBytes / bytesPerKilobyte);
-        }
+        cost += this->remoteCost(*candidate, query);
         const double failureShare = meanWithPrior(this->endpointLoads.find(candidate->id).fleetFailures(now), 0, priorObservations);
         double score = static_cast<double>(cost.count()) * (1 + failureWeight * failureShare) * jitter(random);
         // The penalty exceeds any expected time, so an endpoint in back-off is used only if all candidates are.
@@ -137,6 +219,9 @@
             best = std::move(choice);
         }
     }
+    if (this->endpointLoads.learnsCapacity()) {
+        return this->chooseSpread(std::move(spread), query, random);
+    }
     return best;
 }
 
--- a/Libraries/LibGateway/EndpointChooser.h
+++ b/Libraries/LibGateway/EndpointChooser.h
@@ -78,6 +78,23 @@
     const EndpointLoads &loads() const;
 
 private:
+    /// Choice of one candidate and the parts of its cost, in microseconds.
+    struct Candidate {
+        EndpointChoice choice;
+        /// Expected time until the first output without a cached prompt, increased for failures.
+        double cost = 0;
+        /// Increase of the cost by a further request.
+        double increment = 1;
+        /// What cached prompt parts save, now and for later requests.
+        double saving = 0;
+        /// Cost of traffic to another failure domain.
+        double remotePenalty = 0;
+    };
+
+    Candidate assess(const EndpointEntry &endpoint, const ChoiceQuery &query, EndpointChoice choice, MonotonicTime now) const;
+    /// Chooses so that the requests which all instances send before they see each other's load are spread over the endpoints.
+    std::optional<EndpointChoice> chooseSpread(std::vector<Candidate> candidates, const ChoiceQuery &query, RandomSource &random) const;
+    Duration remoteCost(const EndpointEntry &endpoint, const ChoiceQuery &query) const;
     EndpointChoice predict(const EndpointEntry &endpoint, const ChoiceQuery &query, const std::vector<std::uint64_t> &prefixKeys, MonotonicTime now) const;
 
     std::string ownFailureDomain;
--- a/Libraries/LibGateway/EndpointLoads.cpp
+++ b/Libraries/LibGateway/EndpointLoads.cpp
@@ -138,6 +138,12 @@
     return std::chrono::duration_cast<Duration>(wait);
 }
 
+double EndpointLoads::peerRequestsPerSecond(const std::string &service) const
+{
+    const auto others = this->peerStatistics.find(service);
+    return others == this->peerStatistics.end() ? 0 : others->second.promptWaits.weight / toSeconds(serviceTimeConstant);
+}
+
 void EndpointLoads::recordOutput(const std::string &endpoint, MonotonicTime now)
 {
     this->loads[endpointKey(endpoint)].lastOutput = now;
--- a/Libraries/LibGateway/EndpointLoads.h
+++ b/Libraries/LibGateway/EndpointLoads.h
@@ -107,6 +107,8 @@
     /// Mean time that requests to a service waited in the queue before their own prompt was read, over all instances: a mean with
     /// exponential decay.
     Duration meanPromptWait(const std::string &service, MonotonicTime now) const;
+    /// First outputs from the service's endpoints to requests of the other instances, per second.
+    double peerRequestsPerSecond(const std::string &service) const;
     /// Replaces the other instances' usage by endpoint and statistics by service.
     void setPeerUsage(const EndpointUsageMap &usage, const ServiceStatisticsMap &statistics, MonotonicTime now);
     /// Returns this instance's usage by endpoint, without endpoints that have no running request, no recent output
--- a/Tests/LibCapacity/TestCapacityComparison.cpp
+++ b/Tests/LibCapacity/TestCapacityComparison.cpp
@@ -6,6 +6,22 @@
 
 using namespace Godwitfork;
 
+TEST_CASE("Learned capacity serves more in time than the code before it, and with less oscillation", "[comparison]")
+{
+    // A first version only multiplied by the learned speed. All instances then sent to the endpoints with the best estimates until the next summary: at 76
+    // instances and equal endpoints 40% were served within 1 s, where the code before it served 79%.
+    for (const PoolKind kind : poolKinds) {
+        for (const int instances : {9, 76}) {
+            const PoolResult before = runPool(kind, instances, ChoiceRule::Before, 1);
+            const PoolResult learned = runPool(kind, instances, ChoiceRule::Learned, 1);
+            INFO(poolKindName(kind) << ", " << instances << " instances");
+            CHECK(learned.goodput > before.goodput);
+            CHECK(learned.p99 < before.p99);
+            CHECK(learned.oscillation < before.oscillation);
+        }
+    }
+}
+
 // Not run by default: prints the table of docs/measurements.md.
 TEST_CASE("Comparison of choice rules", "[.table]")
 {
