--- a/Tests/LibEntry/TestPlacementOfRequests.cpp
+++ b/Tests/LibEntry/TestPlacementOfRequests.cpp
@@ -75,6 +75,14 @@
 /// What an endpoint does with a request.
 enum class Manner { Serve, Break, Refuse, Fail, Doubt };
 
+struct Paths {
+    int firstChoices = 0;
+    int laterChoices = 0;
+    int resumptions = 0;
+    int escalations = 0;
+    int sessions = 0;
+};
+
 /// A random fleet: endpoints in random failure domains that change the evacuations while they answer, and record each request that reaches
 /// one of them though its domain is evacuated or outside a home region at that moment.
 class RandomFleet
@@ -136,7 +144,8 @@
     }
 
     int refusals = 0;
-    std::size_t retries = 0;
+    /// Arrivals by the path that led to them.
+    Paths paths;
 
 private:
     static inline const Names domains = {"a", "b", "c"};
@@ -172,7 +181,12 @@
             this->violations.push_back(headerValue(exchange.request().headers, "X-Attempt-Id") + " at " + id + " in " + endpoint.failureDomain);
         }
         const auto [manner, change] = this->steps[std::min(this->step, this->steps.size() - 1)];
-        this->retries += this->step > 0 ? 1 : 0;
+        const HttpHeaders &headers = exchange.request().headers;
+        const std::string model = headerValue(headers, "X-Model");
+        ++(this->step > 0 ? this->paths.laterChoices : this->paths.firstChoices);
+        this->paths.resumptions += headerValue(headers, "Last-Event-Id").empty() ? 0 : 1;
+        this->paths.escalations += model == "m1" || model == "m2" ? 1 : 0;
+        this->paths.sessions += headerValue(headers, "Session").empty() ? 0 : 1;
         ++this->step;
         // An evacuation begins or ends while the request is at the endpoint, half of the time that of its own domain.
         const std::string &domain = change < 6 ? endpoint.failureDomain : domains[change % domains.size()];
@@ -235,18 +249,26 @@
 {
     // Guards against EVAC and HOME on the first choice, a retry, a resumption, an escalation and a request of a session on a version under trial.
     int refusals = 0;
-    std::size_t retries = 0;
+    Paths paths;
     CHECK(rc::check([&] {
         RandomFleet fleet;
-        for (int number = 0; number < 6; ++number) {
+        for (int number = 0; number < 20; ++number) {
             fleet.playRequest(number);
         }
         refusals += fleet.refusals;
-        retries += fleet.retries;
+        paths.firstChoices += fleet.paths.firstChoices;
+        paths.laterChoices += fleet.paths.laterChoices;
+        paths.resumptions += fleet.paths.resumptions;
+        paths.escalations += fleet.paths.escalations;
+        paths.sessions += fleet.paths.sessions;
     }));
     // The cases must come to what they check.
     CHECK(refusals > 20);
-    CHECK(retries > 50);
+    CHECK(paths.firstChoices > 50);
+    CHECK(paths.laterChoices > 50);
+    CHECK(paths.resumptions > 5);
+    CHECK(paths.escalations > 5);
+    CHECK(paths.sessions > 20);
 }
 
 TEST_CASE("A request without an allowed endpoint is refused at once as not run, with the cause", "[placement]")
