--- a/Libraries/LibColdStart/ColdStarts.cpp
+++ b/Libraries/LibColdStart/ColdStarts.cpp
@@ -13,9 +13,9 @@
 constexpr Duration maxEntryAge = std::chrono::milliseconds(1200);
 /// Age that an output may have when it is reported, beyond its stated age: the time of the messages that carry it.
 constexpr Duration outputTransit = std::chrono::milliseconds(300);
-/// Time, besides twice the cold time, after which a failure without a further sign is forgotten. An endpoint whose loss only this instance saw,
-/// for example through a lost link, would otherwise never get a request of this instance again.
-constexpr Duration suspicionTime = std::chrono::seconds(2);
+/// Time, besides the cold time, after which a failure without a further sign is forgotten. An endpoint whose loss only this instance saw, for
+/// example through a lost link, would otherwise never get a request of this instance again.
+constexpr Duration suspicionTime = std::chrono::seconds(1);
 /// Time constant with which `EndpointLoads` decays reported failures.
 constexpr Duration failureTimeConstant = std::chrono::seconds(4);
 /// Rise of the reported failures that is a further failure, beyond the differences in the age of two reports.
@@ -33,7 +33,7 @@
 
 Duration suspicionLimit(const ColdRule &rule)
 {
-    return 2 * rule.coldTime + suspicionTime;
+    return rule.coldTime + suspicionTime;
 }
 
 /// End of the time in which an endpoint that was lost may be cold; empty if it was not lost.
--- a/Libraries/LibEntry/RequestRunCold.cpp
+++ b/Libraries/LibEntry/RequestRunCold.cpp
@@ -9,6 +9,12 @@
 namespace Godwitfork
 {
 
+namespace
+{
+/// Time within which a connection is refused by a machine without a listener; below the time limit of a connection.
+constexpr Duration refusalTime = std::chrono::milliseconds(200);
+} // namespace
+
 Duration RequestRun::timeToAvailableEndpoint() const
 {
     const MonotonicTime now = monotonicNow();
@@ -48,8 +54,11 @@
     }
     const EndpointEntry &endpoint = this->currentAttempt->choice.endpoint;
     const MonotonicTime now = monotonicNow();
-    // An attempt that ended at the request's own deadline says nothing about the endpoint.
-    const bool isUnconnected = outcome.end == AttemptEnd::NotSent && this->remaining() > Duration::zero();
+    // An attempt that ended at the request's own deadline says nothing about the endpoint. A connection that is not refused but times out may be one
+    // lost packet.
+    const bool isRefused = now - this->currentAttempt->started < refusalTime;
+    const bool hasFailedBefore = this->state.chooser.loads().find(endpoint.id).consecutiveNoResponses > 1;
+    const bool isUnconnected = outcome.end == AttemptEnd::NotSent && this->remaining() > Duration::zero() && (isRefused || hasFailedBefore);
     if (outcome.end == AttemptEnd::Answered) {
         this->state.coldStarts.recordOutput(endpoint.id, now);
     } else if (isUnconnected || outcome.isConnectionLost) {
