Count what connections hold, close those without progress, and keep descriptors free

Cause: the parser kept trailers and chunk extensions without a limit; heads, buffers and connections were in no account; the router had none at all; a client that stopped in its body kept its memory until the time limit of the request; listeners accepted more connections than the process has descriptors.

Changes: - MemoryBudget: connections are a use of their own, a client's part and the answers' part are kept free, and a demand that finds no room asks for relief (shortageOf says which connections would help). - HttpServer is split: the listener, the connection, and RequestReceiver, which parses without a network and limits what the parser keeps. EvictionRules decides who is closed and who is too slow, DescriptorShares how many connections a listener may hold. All listeners of both programs use them; the entry has one account for its four listeners. - The router has memory_limit_mb (512); both programs have max_connections, address_share_percent, body_grace_ms and min_body_bytes_per_s. - The 408 for a request that arrives too slowly is sent before the connection closes. - Logs and metrics: callers.limited, godwitfork_entry_limited_clients.

--- a/Libraries/LibCore/MemoryBudget.cpp
+++ b/Libraries/LibCore/MemoryBudget.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace Godwitfork
 {
@@ -15,6 +16,12 @@
 constexpr std::size_t smallPartDivisor = 8;
 constexpr std::size_t answerPartDivisor = 4;
 
+/// Whether the use is one that callers cause before their request runs.
+bool isOfRequest(MemoryUse use)
+{
+    return use == MemoryUse::RequestBody || use == MemoryUse::Connection;
+}
+
 bool isLarge(const MemoryLimits &limits, std::size_t size)
 {
     return size > limits.smallItem;
@@ -43,6 +50,8 @@
         return "answer";
     case MemoryUse::PartialEvent:
         return "partial_event";
+    case MemoryUse::Connection:
+        return "connection";
     }
     return "";
 }
@@ -55,29 +64,43 @@
     limits.smallPart = capacity / smallPartDivisor;
     limits.answerPart = capacity / answerPartDivisor;
     limits.accountBodies = (capacity - limits.smallPart - limits.answerPart) / 4 * 3;
+    limits.clientPart = (capacity - limits.answerPart) / 4 * 3;
     return limits;
 }
 
-bool mayHold(const MemoryLimits &limits, const MemoryHeld &held, const MemoryDemand &demand)
+MemoryShortage shortageOf(const MemoryLimits &limits, const MemoryHeld &held, const MemoryDemand &demand)
 {
     if (demand.newSize <= demand.size) {
-        return true;
+        return MemoryShortage::None;
     }
-    if (demand.newSize > limits.capacity || held.total - demand.size + demand.newSize > limits.capacity) {
-        return false;
+    const bool isRequest = isOfRequest(demand.use);
+    const bool isLargeItem = isLarge(limits, demand.newSize);
+    const bool isLargeBody = isLargeItem && demand.use == MemoryUse::RequestBody;
+    const std::size_t growth = demand.newSize - demand.size;
+    const std::size_t requestPart = difference(limits.capacity, limits.answerPart);
+    const std::size_t largePart = difference(limits.capacity, limits.smallPart);
+    const std::size_t bodyPart = difference(largePart, limits.answerPart);
+    if (demand.newSize > limits.capacity || (isLargeItem && demand.newSize > largePart)
+        || (isRequest && (demand.newSize > requestPart || demand.newSize > limits.clientPart))
+        || (isLargeBody && (demand.newSize > bodyPart || demand.newSize > limits.accountBodies))) {
+        return MemoryShortage::TooLarge;
     }
-    if (!isLarge(limits, demand.newSize)) {
-        return true;
+    if (isLargeBody && withChange(demand.accountBodies, limits, demand) > limits.accountBodies) {
+        return MemoryShortage::ClientLarge;
     }
-    const std::size_t largePart = difference(limits.capacity, limits.smallPart);
-    if (withChange(held.large, limits, demand) > largePart) {
-        return false;
+    if (isRequest && demand.clientBytes + growth > limits.clientPart) {
+        return MemoryShortage::Client;
     }
-    if (demand.use != MemoryUse::RequestBody) {
-        return true;
+    if (isLargeItem && (withChange(held.large, limits, demand) > largePart || (isLargeBody && withChange(held.largeBodies, limits, demand) > bodyPart))) {
+        return MemoryShortage::ProcessLarge;
     }
-    return withChange(held.largeBodies, limits, demand) <= difference(largePart, limits.answerPart)
-        && withChange(demand.accountBodies, limits, demand) <= limits.accountBodies;
+    const bool hasRoom = held.total + growth <= limits.capacity && (!isRequest || demand.requestBytes + growth <= requestPart);
+    return hasRoom ? MemoryShortage::None : MemoryShortage::Process;
+}
+
+bool mayHold(const MemoryLimits &limits, const MemoryHeld &held, const MemoryDemand &demand)
+{
+    return shortageOf(limits, held, demand) == MemoryShortage::None;
 }
 
 struct MemoryReservation::Account {
@@ -86,8 +109,63 @@
     std::size_t peak = 0;
     std::map<MemoryUse, std::size_t> heldByUse;
     std::map<MemoryUse, std::size_t> refusals;
-    /// Bytes of large request bodies by client account; accounts that hold none are left out.
+    /// Bytes of large request bodies by client; clients that hold none are left out.
     std::map<std::string, std::size_t> clientBodies;
+    /// Bytes by client of each use that callers cause before their request runs; clients that hold none are left out.
+    std::map<std::pair<MemoryUse, std::string>, std::size_t> clientBytes;
+    std::vector<MemoryRelief> reliefs;
+    bool isRelieving = false;
+
+    MemoryDemand demand(const MemoryReservation &item, std::size_t newSize) const
+    {
+        MemoryDemand demand;
+        demand.use = item.use;
+        demand.size = item.held;
+        demand.newSize = newSize;
+        const auto bodies = this->clientBodies.find(item.client);
+        demand.accountBodies = bodies == this->clientBodies.end() ? 0 : bodies->second;
+        const auto bytes = this->clientBytes.find({item.use, item.client});
+        demand.clientBytes = bytes == this->clientBytes.end() ? 0 : bytes->second;
+        demand.requestBytes = this->heldFor(MemoryUse::RequestBody) + this->heldFor(MemoryUse::Connection);
+        return demand;
+    }
+
+    std::size_t heldFor(MemoryUse use) const
+    {
+        const auto entry = this->heldByUse.find(use);
+        return entry == this->heldByUse.end() ? 0 : entry->second;
+    }
+
+    /// Whether the demand may be met, if necessary after others have released memory.
+    bool makeRoom(const MemoryReservation &item, std::size_t newSize)
+    {
+        while (true) {
+            const MemoryShortage shortage = shortageOf(this->limits, this->held, this->demand(item, newSize));
+            if (shortage == MemoryShortage::None) {
+                return true;
+            }
+            if (shortage == MemoryShortage::TooLarge || this->isRelieving) {
+                return false;
+            }
+            this->isRelieving = true;
+            const bool isRelieved =
+                std::any_of(this->reliefs.begin(), this->reliefs.end(), [&](const MemoryRelief &relief) { return relief(shortage, item.use, item.client); });
+            this->isRelieving = false;
+            if (!isRelieved) {
+                return false;
+            }
+        }
+    }
+
+    template<typename Key>
+    static void set(std::map<Key, std::size_t> &sums, const Key &key, std::size_t bytes)
+    {
+        if (bytes > 0) {
+            sums[key] = bytes;
+        } else {
+            sums.erase(key);
+        }
+    }
 };
 
 MemoryReservation::MemoryReservation(std::shared_ptr<Account> account, MemoryUse use, std::string client)
@@ -127,27 +205,20 @@
         return true;
     }
     Account &all = *this->account;
-    MemoryDemand demand;
-    demand.use = this->use;
-    demand.size = this->held;
-    demand.newSize = newSize;
-    const auto entry = all.clientBodies.find(this->client);
-    demand.accountBodies = entry == all.clientBodies.end() ? 0 : entry->second;
-    if (!mayHold(all.limits, all.held, demand)) {
+    if (!all.makeRoom(*this, newSize)) {
         ++all.refusals[this->use];
         return false;
     }
+    const MemoryDemand demand = all.demand(*this, newSize);
     all.held.total = all.held.total - this->held + newSize;
     all.held.large = withChange(all.held.large, all.limits, demand);
     all.heldByUse[this->use] += newSize - this->held;
+    if (isOfRequest(this->use)) {
+        Account::set(all.clientBytes, {this->use, this->client}, demand.clientBytes - this->held + newSize);
+    }
     if (this->use == MemoryUse::RequestBody) {
         all.held.largeBodies = withChange(all.held.largeBodies, all.limits, demand);
-        const std::size_t bodies = withChange(demand.accountBodies, all.limits, demand);
-        if (bodies > 0) {
-            all.clientBodies[this->client] = bodies;
-        } else if (entry != all.clientBodies.end()) {
-            all.clientBodies.erase(entry);
-        }
+        Account::set(all.clientBodies, this->client, withChange(demand.accountBodies, all.limits, demand));
     }
     all.peak = std::max(all.peak, all.held.total);
     this->held = newSize;
@@ -159,6 +230,18 @@
     return this->held;
 }
 
+const std::string &MemoryReservation::clientName() const
+{
+    return this->client;
+}
+
+void MemoryReservation::setClient(std::string newClient)
+{
+    if (this->held == 0) {
+        this->client = std::move(newClient);
+    }
+}
+
 MemoryBudget::MemoryBudget(const MemoryLimits &limits) : account(std::make_shared<MemoryReservation::Account>())
 {
     this->account->limits = limits;
@@ -169,6 +252,11 @@
     return {this->account, use, std::move(client)};
 }
 
+void MemoryBudget::addRelief(MemoryRelief relief) const
+{
+    this->account->reliefs.push_back(std::move(relief));
+}
+
 const MemoryLimits &MemoryBudget::limits() const
 {
     return this->account->limits;
@@ -181,8 +269,7 @@
 
 std::size_t MemoryBudget::held(MemoryUse use) const
 {
-    const auto entry = this->account->heldByUse.find(use);
-    return entry == this->account->heldByUse.end() ? 0 : entry->second;
+    return this->account->heldFor(use);
 }
 
 std::size_t MemoryBudget::peak() const
--- a/Libraries/LibCore/MemoryBudget.h
+++ b/Libraries/LibCore/MemoryBudget.h
@@ -3,6 +3,8 @@
 #include <array>
 #include <compare>
 #include <cstddef>
+#include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -10,9 +12,9 @@
 {
 
 /// What bytes are held for.
-enum class MemoryUse { RequestBody, Answer, PartialEvent };
+enum class MemoryUse { RequestBody, Answer, PartialEvent, Connection };
 
-constexpr std::array<MemoryUse, 3> memoryUses = {MemoryUse::RequestBody, MemoryUse::Answer, MemoryUse::PartialEvent};
+constexpr std::array<MemoryUse, 4> memoryUses = {MemoryUse::RequestBody, MemoryUse::Answer, MemoryUse::PartialEvent, MemoryUse::Connection};
 
 const char *memoryUseName(MemoryUse use);
 
@@ -23,10 +25,12 @@
     std::size_t smallItem = 0;
     /// Part of the capacity that only small items may draw on.
     std::size_t smallPart = 0;
-    /// Part of the capacity that large request bodies may not draw on, so that the answers to admitted requests find room.
+    /// Part of the capacity that connections and request bodies may not draw on, so that the answers to admitted requests find room.
     std::size_t answerPart = 0;
-    /// Most that the large request bodies of one client account may hold.
+    /// Most that the large request bodies of one client may hold. A client is an account, or an address where no account is known.
     std::size_t accountBodies = 0;
+    /// Most that one client may hold for the same use, of connections and of request bodies.
+    std::size_t clientPart = std::numeric_limits<std::size_t>::max();
 
     auto operator<=>(const MemoryLimits &) const = default;
 };
@@ -50,13 +54,22 @@
     MemoryUse use = MemoryUse::RequestBody;
     std::size_t size = 0;
     std::size_t newSize = 0;
-    /// Bytes that the large request bodies of the item's client account hold.
+    /// Bytes that the large request bodies of the item's client hold.
     std::size_t accountBodies = 0;
+    /// Bytes that the item's client holds for the same use.
+    std::size_t clientBytes = 0;
+    /// Bytes that connections and request bodies hold.
+    std::size_t requestBytes = 0;
 
     auto operator<=>(const MemoryDemand &) const = default;
 };
 
-/// Whether an item may grow as demanded. An item may always shrink.
+/// Why an item may not grow: it exceeds a limit by itself, or the process or the item's client holds too much, in all or for large items.
+enum class MemoryShortage { None, TooLarge, Process, ProcessLarge, Client, ClientLarge };
+
+/// What keeps an item from growing as demanded. An item may always shrink.
+MemoryShortage shortageOf(const MemoryLimits &limits, const MemoryHeld &held, const MemoryDemand &demand);
+/// Whether an item may grow as demanded.
 bool mayHold(const MemoryLimits &limits, const MemoryHeld &held, const MemoryDemand &demand);
 
 /// Holds bytes of a budget for one item until it is destroyed. May outlive the budget.
@@ -73,6 +86,10 @@
     /// Changes the size in bytes; returns false, and changes nothing, if the budget does not allow it. Without a budget, any size is allowed.
     bool resize(std::size_t newSize);
     std::size_t size() const;
+    /// Name of the client; empty if none is known.
+    const std::string &clientName() const;
+    /// Sets the client of a reservation that holds nothing.
+    void setClient(std::string newClient);
 
 private:
     friend class MemoryBudget;
@@ -86,14 +103,21 @@
     std::size_t held = 0;
 };
 
-/// Account of the bytes that a process holds for its requests and answers. For use by one thread.
+/// Releases memory of another item for a demand that cannot be met; returns false if none may be released. `client` and `use` are those of the
+/// demand.
+using MemoryRelief = std::function<bool(MemoryShortage shortage, MemoryUse use, const std::string &client)>;
+
+/// Account of the bytes that a process holds for its connections, requests and answers. For use by one thread.
 class MemoryBudget
 {
 public:
     explicit MemoryBudget(const MemoryLimits &limits);
 
-    /// Opens a reservation of 0 bytes for an item of a client account, whose name is empty for requests without one.
+    /// Opens a reservation of 0 bytes for an item of a client, whose name is empty if none is known.
     MemoryReservation open(MemoryUse use, std::string client) const;
+    /// Adds a function that is asked for room before a demand is refused, as long as it released some. It must not use reservations that have
+    /// been destroyed, and may only shrink others.
+    void addRelief(MemoryRelief relief) const;
     const MemoryLimits &limits() const;
     MemoryHeld held() const;
     std::size_t held(MemoryUse use) const;
--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -55,6 +55,10 @@
                                                             .Name("godwitfork_entry_memory_held_bytes")
                                                             .Help("Bytes of requests and answers that are held, by use")
                                                             .Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &limitedClients = prometheus::BuildGauge()
+                                                                .Name("godwitfork_entry_limited_clients")
+                                                                .Help("Connections and requests ended by the limits of a listener since the start")
+                                                                .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &trialAnswers = prometheus::BuildGauge()
                                                               .Name("godwitfork_entry_trial_answers")
                                                               .Help("Answers counted for a version under trial, by service, version and result")
@@ -132,6 +136,16 @@
     for (const auto &[use, bytes] : gauges.memoryHeldBytes) {
         this->state->memoryHeld.Add({{"use", use}}).Set(bytes);
     }
+    for (const auto &[listener, counters] : gauges.listeners) {
+        const std::map<std::string, std::uint64_t> counts = {{"evicted", counters.evictedConnections},
+                                                             {"connections", counters.refusedConnections},
+                                                             {"memory", counters.refusedRequests},
+                                                             {"slow", counters.slowRequests},
+                                                             {"oversized", counters.oversizedRequests}};
+        for (const auto &[cause, count] : counts) {
+            this->state->limitedClients.Add({{"listener", listener}, {"cause", cause}}).Set(static_cast<double>(count));
+        }
+    }
     this->state->gauges.Add({{"name", "ready"}}).Set(gauges.isReady ? 1 : 0);
     for (const auto &[key, count] : gauges.ignoredItems) {
         this->state->ignoredItems.Add({{"source", key.first}, {"cause", key.second}}).Set(static_cast<double>(count));
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibHttp/HttpServer.h"
 
 #include <cstdint>
 #include <map>
@@ -20,6 +21,8 @@
     std::map<std::string, double> copyAgeSeconds;
     /// Bytes of requests and answers that are held, by use.
     std::map<std::string, double> memoryHeldBytes;
+    /// What each listener did to stay within its limits, by its name.
+    std::map<std::string, HttpServerCounters> listeners;
     bool isReady = false;
     /// Number of items that were not understood since the start, by source and cause.
     std::map<std::pair<std::string, std::string>, std::uint64_t> ignoredItems;
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Log.h"
 #include "LibEntry/BodyAdmission.h"
 #include "LibEntry/CatalogChanges.h"
+#include "LibEntry/ListenerLimits.h"
 #include "LibSettings/SettingsReader.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -62,24 +63,27 @@
     , callers(
           this->context,
           this->state.settings.callers,
-          {},
+          callerListenerLimits(this->state.settings, {}),
           [this](HttpExchange &exchange) { return this->serveCaller(exchange); },
           refusal)
     , readiness(
           this->context,
           this->state.settings.readiness,
-          {},
+          observerListenerLimits(this->state.settings),
           [this](HttpExchange &exchange) { return this->serveReadiness(exchange); },
           refusal)
     , metricsListener(
           this->context,
           this->state.settings.metrics,
-          {},
+          observerListenerLimits(this->state.settings),
           [this](HttpExchange &exchange) { return this->serveMetrics(exchange); },
           refusal)
     , stopSignals(this->context, SIGTERM, SIGINT)
     , reloadSignals(this->context, SIGHUP)
 {
+    for (HttpServer *server : {&this->callers, &this->readiness, &this->metricsListener}) {
+        server->setMemory(this->state.memory);
+    }
     this->callers.setBodyAdmission([this](const HttpRequest &head) { return admitBody(this->state, head); });
     for (const CatalogKind kind : {CatalogKind::Configuration, CatalogKind::Endpoints, CatalogKind::Rollouts}) {
         this->followers.push_back(std::make_unique<CatalogFollower>(this->context, this->catalog, this->state, kind));
@@ -140,6 +144,10 @@
     for (const MemoryUse use : memoryUses) {
         gauges.memoryHeldBytes[memoryUseName(use)] = static_cast<double>(this->state.memory.held(use));
     }
+    gauges.listeners = {{"callers", this->callers.counters()},
+                        {"readiness", this->readiness.counters()},
+                        {"metrics", this->metricsListener.counters()},
+                        {"peers", this->peers.listenerCounters()}};
     gauges.isReady = this->state.isReady(monotonicNow());
     return gauges;
 }
@@ -157,14 +165,8 @@
     if (!this->state.routes || this->state.routes->configuration().version == this->limitsVersion) {
         return;
     }
-    const CallerLimits &limits = this->state.routes->configuration().limits;
     this->limitsVersion = this->state.routes->configuration().version;
-    HttpServerLimits serverLimits;
-    serverLimits.maxHeaderBytes = limits.maxHeaderBytes;
-    serverLimits.maxBodyBytes = limits.maxBodyBytes;
-    serverLimits.requestTimeout = limits.requestTimeout;
-    serverLimits.idleTimeout = limits.idleTimeout;
-    this->callers.setLimits(serverLimits);
+    this->callers.setLimits(callerListenerLimits(this->state.settings, this->state.routes->configuration().limits));
 }
 
 // The fixed retry allowance applies to the whole fleet, so each instance gets an equal share, and none while it knows no other.
--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -95,6 +95,7 @@
     settings.coreShare = readFraction(reader, "core_share", settings.coreShare, 0.001, 1024);
     settings.logLevel = readLogLevel(reader);
     settings.memoryLimitMb = reader.integer("memory_limit_mb", settings.memoryLimitMb, minMemoryLimitMb, maxMemoryLimitMb);
+    settings.connections = readConnectionSettings(reader);
     settings.stopLimit = readSeconds(reader, "stop_limit_s", 8, 0.5, 600);
     settings.retryRatio = readFraction(reader, "retry_ratio", settings.retryRatio, 0, 10);
     settings.retryAllowance = reader.integer("retry_allowance", settings.retryAllowance, 0, 1'000'000);
@@ -137,7 +138,7 @@
     out << "core_share: " << settings.coreShare << "\n"
         << "log_level: " << logLevelName(settings.logLevel) << "\n"
         << "memory_limit_mb: " << settings.memoryLimitMb << "\n"
-        << "stop_limit_s: " << seconds(settings.stopLimit) << "\n"
+        << printConnectionSettings(settings.connections) << "stop_limit_s: " << seconds(settings.stopLimit) << "\n"
         << "retry_ratio: " << settings.retryRatio << "\n"
         << "retry_allowance: " << settings.retryAllowance << "\n"
         << "retry_window_s: " << seconds(settings.retryWindow) << "\n"
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -4,6 +4,7 @@
 #include "LibCore/Log.h"
 #include "LibCore/Time.h"
 #include "LibHttp/HttpMessage.h"
+#include "LibSettings/ConnectionSettings.h"
 
 #include <map>
 #include <string>
@@ -35,6 +36,7 @@
     LogLevel logLevel = LogLevel::Info;
     /// Memory that the process may use, in units of 1,000,000 bytes.
     long memoryLimitMb = defaultMemoryLimitMb;
+    ConnectionSettings connections;
     /// Longest time from SIGTERM to the exit of the process.
     Duration stopLimit = std::chrono::seconds(8);
     /// Retries that each request adds to a service's retry budget, over all instances.
--- a/Libraries/LibEntry/PeerExchange.cpp
+++ b/Libraries/LibEntry/PeerExchange.cpp
@@ -54,7 +54,7 @@
     , server(
           context,
           state.settings.peers,
-          {},
+          peerListenerLimits(state.settings),
           [this](HttpExchange &exchange) { return this->serve(exchange); },
           refusal)
     , board(membershipTimeout, state.settings.sessionLifetime)
@@ -65,11 +65,6 @@
 {
 }
 
-void PeerExchange::start()
-{
-    this->server.start();
-}
-
 std::string PeerExchange::ownAddress() const
 {
     return toText(this->state.settings.peers);
--- a/Libraries/LibEntry/PeerExchange.h
+++ b/Libraries/LibEntry/PeerExchange.h
@@ -3,6 +3,7 @@
 #include "LibEntry/ConfigurationFetcher.h"
 #include "LibEntry/DomainExchange.h"
 #include "LibEntry/EntryState.h"
+#include "LibEntry/ListenerLimits.h"
 #include "LibGateway/HubDirectory.h"
 #include "LibGateway/PeerReportAggregator.h"
 #include "LibHttp/HttpClient.h"
@@ -27,7 +28,11 @@
 public:
     PeerExchange(boost::asio::io_context &context, HttpClient &client, EntryState &state);
 
-    void start();
+    void start()
+    {
+        this->server.setMemory(this->state.memory);
+        this->server.start();
+    }
     /// Sends a report when one is due, and expires old peer data. Call on each timer tick.
     void tick(MonotonicTime now);
     /// Rank of this instance among the live ones for a task, starting at 0.
@@ -43,6 +48,10 @@
     void setRelayHandler(HttpHandler handler);
     /// Whether any other instance is a known member of the fleet.
     bool hasOtherMembers() const;
+    HttpServerCounters listenerCounters() const
+    {
+        return this->server.counters();
+    }
     /// Number of instances within the membership timeout, this one included; at least 1.
     int liveInstanceCount() const;
 
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/MemoryBudget.h"
 #include "LibCore/Time.h"
+#include "LibHttp/EvictionRules.h"
 #include "LibHttp/HttpMessage.h"
 
 #include <utility>
@@ -57,14 +58,34 @@
 using BodyAdmission = std::function<std::optional<MemoryReservation>(const HttpRequest &head)>;
 
 struct HttpServerLimits {
+    /// Largest head of a request, and largest part of a body's framing.
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = 1024 * 1024;
     int maxConnections = 4096;
+    /// Most connections of one address, in hundredths of `maxConnections`.
+    int addressSharePercent = 75;
+    ProgressLimits progress;
     Duration requestTimeout = std::chrono::seconds(30);
     Duration idleTimeout = std::chrono::seconds(75);
     Duration writeTimeout = std::chrono::seconds(30);
 };
 
+/// What a server did since its start to stay within its limits.
+struct HttpServerCounters {
+    /// Connections closed for another one, or for memory that another request needed.
+    std::uint64_t evictedConnections = 0;
+    /// Connections beyond the limit, in all or for their address, whose request was refused.
+    std::uint64_t refusedConnections = 0;
+    /// Requests refused for lack of memory before the handler was called.
+    std::uint64_t refusedRequests = 0;
+    /// Requests that arrived too slowly.
+    std::uint64_t slowRequests = 0;
+    /// Requests whose head, trailers or chunk extension was too large.
+    std::uint64_t oversizedRequests = 0;
+
+    auto operator<=>(const HttpServerCounters &) const = default;
+};
+
 /// HTTP/1.1 server on an io_context that is run by a single thread. Several servers may share a port (SO_REUSEPORT), one for
 /// each traffic thread; the kernel distributes connections among them.
 class HttpServer
@@ -80,7 +101,10 @@
     void start();
     /// Replaces the limits; open connections apply them from their next request.
     void setLimits(const HttpServerLimits &limits);
-    /// Sets the admission of request bodies; by default all bodies within the limits are read.
+    /// Counts connections, heads and bodies in `memory`, and closes connections when it is short. By default they are not counted. Call before
+    /// `start`.
+    void setMemory(const MemoryBudget &memory);
+    /// Sets the admission of request bodies; by default all bodies within the limits that find room in the memory are read.
     void setBodyAdmission(BodyAdmission admitBody);
     /// Closes each connection after its current or next response. New connections are still accepted.
     void disableKeepAlive();
@@ -95,6 +119,7 @@
     std::uint64_t acceptedConnections() const;
     /// Open connections with received bytes that the server has not read yet.
     int connectionsWithUnreadBytes() const;
+    HttpServerCounters counters() const;
 
     struct State;
 
--- a/Services/Router/AdministrationListener.cpp
+++ b/Services/Router/AdministrationListener.cpp
@@ -7,12 +7,11 @@
 
 namespace
 {
-HttpServerLimits administrationLimits()
+HttpServerLimits administrationLimits(const RouterSettings &settings)
 {
-    HttpServerLimits limits;
+    HttpServerLimits limits = listenerLimits(settings.connections, descriptorShares(descriptorLimit()).others);
     // The store limits a configuration to 1 MB; the request adds a small overhead.
     limits.maxBodyBytes = 2 * 1024 * 1024;
-    limits.maxConnections = 64;
     return limits;
 }
 } // namespace
@@ -22,13 +21,15 @@
     , control(control)
     , status(status)
     , api(this->makeContext())
+    , memory(memoryLimits(administrationMemory(settings)))
     , server(
           control.executionContext(),
           settings.administrationListen,
-          administrationLimits(),
+          administrationLimits(settings),
           [this](HttpExchange &exchange) { return this->api.handle(exchange); },
           AdministrationApi::refuse)
 {
+    this->server.setMemory(this->memory);
 }
 
 HttpAddress AdministrationListener::address() const
--- a/Services/Router/AdministrationListener.h
+++ b/Services/Router/AdministrationListener.h
@@ -33,6 +33,7 @@
     const RouterStatus &status;
     SnapshotPointer snapshot;
     AdministrationApi api;
+    MemoryBudget memory;
     HttpServer server;
 };
 
--- a/Services/Router/RouterSettings.cpp
+++ b/Services/Router/RouterSettings.cpp
@@ -2,6 +2,7 @@
 
 #include "LibSettings/CommonSettings.h"
 
+#include <algorithm>
 #include <cmath>
 #include <sstream>
 #include <system_error>
@@ -13,6 +14,13 @@
 {
 /// 128 bits; shorter HMAC keys can be found by brute force.
 constexpr std::size_t minKeyBytes = 16;
+constexpr std::size_t bytesInMb = 1'000'000;
+constexpr long maxMemoryLimitMb = 1'000'000;
+/// Parts of the process's memory, as divisors. The rest is for the program, what it makes of the requests, and the journal.
+constexpr std::size_t trafficMemoryDivisor = 4;
+constexpr std::size_t administrationMemoryDivisor = 32;
+/// Room for a configuration of the largest size beside others.
+constexpr std::size_t leastAdministrationMemory = std::size_t {8} * bytesInMb;
 
 HttpAddress readOptionalAddress(SettingsReader &reader, const std::string &key)
 {
@@ -58,6 +66,13 @@
     }
 }
 
+/// Least memory with which each traffic thread has room for two bodies of the largest size from one client.
+long leastMemoryLimitMb(const RouterSettings &settings)
+{
+    constexpr long memoryPerBody = 18;
+    return memoryPerBody * settings.trafficThreads * settings.maxBodyBytes / static_cast<long>(bytesInMb);
+}
+
 std::string joinWithCommas(const std::vector<std::string> &texts)
 {
     std::string joined;
@@ -88,7 +103,12 @@
     settings.stopLimit = reader.milliseconds("stop_limit_ms", 600000, 100, 600000);
     settings.balancerDelay = reader.milliseconds("balancer_delay_ms", 5000, 0, 60000);
     settings.maxBodyBytes = reader.integer("max_body_bytes", 1024 * 1024, 1024, 64L * 1024 * 1024);
-    settings.maxConnections = reader.integer("max_connections", 4096, 1, 100000);
+    settings.connections = readConnectionSettings(reader);
+    const long leastMemoryMb = leastMemoryLimitMb(settings);
+    settings.memoryLimitMb = reader.integer("memory_limit_mb", std::max(settings.memoryLimitMb, leastMemoryMb), 64, maxMemoryLimitMb);
+    if (settings.memoryLimitMb < leastMemoryMb) {
+        reader.addFinding("memory_limit_mb", "must be at least " + std::to_string(leastMemoryMb) + " with these max_body_bytes and traffic_threads");
+    }
     settings.sessionKeyFile = reader.requiredText("session_key_file");
     settings.routing = readRouting(reader);
     settings.admission = readAdmission(reader);
@@ -102,6 +122,16 @@
     return settings;
 }
 
+std::size_t trafficMemory(const RouterSettings &settings)
+{
+    return static_cast<std::size_t>(settings.memoryLimitMb) * bytesInMb / trafficMemoryDivisor;
+}
+
+std::size_t administrationMemory(const RouterSettings &settings)
+{
+    return std::max(leastAdministrationMemory, static_cast<std::size_t>(settings.memoryLimitMb) * bytesInMb / administrationMemoryDivisor);
+}
+
 std::string printRouterSettings(const RouterSettings &settings)
 {
     std::ostringstream text;
@@ -120,7 +150,7 @@
          << "stop_limit_ms: " << toMilliseconds(settings.stopLimit) << "\n"
          << "balancer_delay_ms: " << toMilliseconds(settings.balancerDelay) << "\n"
          << "max_body_bytes: " << settings.maxBodyBytes << "\n"
-         << "max_connections: " << settings.maxConnections << "\n"
+         << printConnectionSettings(settings.connections) << "memory_limit_mb: " << settings.memoryLimitMb << "\n"
          << "session_key_file: " << settings.sessionKeyFile << "\n"
          << "routing_policy: " << toText(settings.routing.policy) << "\n"
          << "long_job_share_percent: " << std::lround(settings.routing.longJobShare * 100) << "\n"
--- a/Services/Router/RouterSettings.h
+++ b/Services/Router/RouterSettings.h
@@ -5,6 +5,7 @@
 #include "LibCore/Time.h"
 #include "LibHttp/HttpMessage.h"
 #include "LibRouting/EndpointChoice.h"
+#include "LibSettings/ConnectionSettings.h"
 
 #include <string>
 #include <vector>
@@ -36,7 +37,9 @@
     /// Time between becoming not ready and closing the listener, so that the platform's load balancer stops sending requests.
     Duration balancerDelay = std::chrono::seconds(5);
     long maxBodyBytes = 1024 * 1024;
-    long maxConnections = 4096;
+    ConnectionSettings connections;
+    /// Memory that the process may use, in units of 1,000,000 bytes.
+    long memoryLimitMb = 512;
     std::string sessionKeyFile;
     RoutingSettings routing;
     AdmissionControl admission = AdmissionControl::On;
@@ -55,6 +58,10 @@
 
 /// Parses settings from YAML text and adds every error to `findings`.
 RouterSettings parseRouterSettings(const std::string &file, const std::string &text, Findings &findings);
+/// Bytes that the connections of callers may hold, on all threads together.
+std::size_t trafficMemory(const RouterSettings &settings);
+/// Bytes that the connections to the administration API may hold.
+std::size_t administrationMemory(const RouterSettings &settings);
 /// YAML text with every setting and its effective value.
 std::string printRouterSettings(const RouterSettings &settings);
 
--- a/Services/Router/TrafficThread.cpp
+++ b/Services/Router/TrafficThread.cpp
@@ -10,15 +10,16 @@
 {
 HttpServerLimits serverLimits(const RouterSettings &settings)
 {
-    HttpServerLimits limits;
+    HttpServerLimits limits = listenerLimits(settings.connections, descriptorShares(descriptorLimit()).callers);
     limits.maxBodyBytes = static_cast<std::uint64_t>(settings.maxBodyBytes);
-    limits.maxConnections = static_cast<int>(settings.maxConnections) / settings.trafficThreads + 1;
+    limits.maxConnections = limits.maxConnections / settings.trafficThreads + 1;
     return limits;
 }
 } // namespace
 
 TrafficThread::TrafficThread(const RouterSettings &settings, const HttpAddress &listen, ControlPlane &control, RouterStatus &status, Metrics &metrics)
-    : worker(settings, control, status, metrics)
+    : memory(memoryLimits(trafficMemory(settings) / static_cast<std::size_t>(settings.trafficThreads)))
+    , worker(settings, control, status, metrics)
     , poller(this->worker)
     , api(this->worker)
     , server(
@@ -28,6 +29,7 @@
           [this](HttpExchange &exchange) { return this->api.handle(exchange); },
           CallerApi::refuse)
 {
+    this->server.setMemory(this->memory);
 }
 
 TrafficThread::~TrafficThread()
--- a/Services/Router/TrafficThread.h
+++ b/Services/Router/TrafficThread.h
@@ -34,6 +34,8 @@
 private:
     void adopt(SnapshotPointer snapshot);
 
+    /// Account of the bytes that this thread's connections hold.
+    MemoryBudget memory;
     Worker worker;
     EndpointPoller poller;
     CallerApi api;
--- a/Tests/LibCore/TestMemoryBudget.cpp
+++ b/Tests/LibCore/TestMemoryBudget.cpp
@@ -142,3 +142,60 @@
     CHECK(outer.resize(200));
     CHECK_FALSE(outer.resize(capacity));
 }
+
+// Guards against connections and bodies that leave no room for the answers to requests that have run, and against one address that takes all.
+TEST_CASE("Connections and bodies leave the answers' part free, and one client leaves room for others")
+{
+    MemoryLimits limits = smallLimits();
+    limits.clientPart = 400;
+    MemoryBudget budget(limits);
+    std::vector<MemoryReservation> held;
+    const auto fill = [&](MemoryUse use, const std::string &client) {
+        for (int i = 0; i < 100; ++i) {
+            held.push_back(budget.open(use, client));
+            held.back().resize(10);
+        }
+    };
+    fill(MemoryUse::Connection, "a");
+    CHECK(budget.held(MemoryUse::Connection) == 400);
+    fill(MemoryUse::RequestBody, "b");
+    CHECK(budget.held().total == 700);
+    fill(MemoryUse::Connection, "c");
+    CHECK(budget.held().total == 700);
+    MemoryReservation answer = budget.open(MemoryUse::Answer, "a");
+    CHECK(answer.resize(300));
+}
+
+// Guards against a demand that closes connections whose memory does not help it.
+TEST_CASE("A demand that finds no room asks for relief as long as that helps")
+{
+    MemoryBudget budget(smallLimits());
+    std::vector<MemoryReservation> held;
+    std::vector<MemoryShortage> shortages;
+    budget.addRelief([&](MemoryShortage shortage, MemoryUse use, const std::string &client) {
+        shortages.push_back(shortage);
+        CHECK(use == MemoryUse::RequestBody);
+        CHECK(client == "b");
+        if (held.empty()) {
+            return false;
+        }
+        held.pop_back();
+        return true;
+    });
+    for (int i = 0; i < 3; ++i) {
+        held.push_back(budget.open(MemoryUse::RequestBody, "a"));
+        REQUIRE(held.back().resize(100));
+    }
+    MemoryReservation body = budget.open(MemoryUse::RequestBody, "b");
+    CHECK(body.resize(300));
+    CHECK(shortages == std::vector<MemoryShortage> {MemoryShortage::ProcessLarge});
+    CHECK(held.size() == 2);
+    shortages.clear();
+    CHECK_FALSE(body.resize(301));
+    CHECK(shortages.empty());
+    MemoryReservation other = budget.open(MemoryUse::RequestBody, "b");
+    CHECK_FALSE(other.resize(50));
+    CHECK(shortages.front() == MemoryShortage::ClientLarge);
+    CHECK(held.empty());
+    CHECK(budget.refusals(MemoryUse::RequestBody) == 2);
+}
