--- a/Tests/LibEntry/TestEntrySettings.cpp
+++ b/Tests/LibEntry/TestEntrySettings.cpp
@@ -74,3 +74,21 @@
     parseEntrySettings("s.yaml", complete + "learned_capacity: maybe\ndomain_regions: [north]\n", findings);
     CHECK(findings.entries().size() == 2);
 }
+
+// Guards against limits of callers' connections that are not read, not printed or not checked.
+TEST_CASE("The limits of the callers' connections are read, checked and printed", "[settings]")
+{
+    Findings findings;
+    const ConnectionSettings defaults = parseEntrySettings("s.yaml", complete, findings).connections;
+    CHECK(defaults == ConnectionSettings {});
+    const std::string given = "max_connections: 100\naddress_share_percent: 50\nbody_grace_ms: 2000\nmin_body_bytes_per_s: 0\n";
+    const EntrySettings settings = parseEntrySettings("s.yaml", complete + given, findings);
+    CHECK(settings.connections.maxConnections == 100);
+    CHECK(settings.connections.addressSharePercent == 50);
+    CHECK(settings.connections.progress.grace == 2s);
+    CHECK(settings.connections.progress.bytesPerSecond == Approx(0));
+    CHECK(findings.isEmpty());
+    CHECK(printEntrySettings(settings).find(given) != std::string::npos);
+    parseEntrySettings("s.yaml", complete + "max_connections: 0\naddress_share_percent: 101\n", findings);
+    CHECK(findings.entries().size() == 2);
+}
