--- /dev/null
+++ b/Tests/LibGateway/TestEndpointSpread.cpp
@@ -0,0 +1,141 @@
+#include "LibGateway/EndpointChooser.h"
+
+#include <catch2/catch.hpp>
+
+
+using namespace Godwitfork;
+using namespace std::chrono_literals;
+
+namespace
+{
+const MonotonicTime start {1000s};
+
+/// Endpoints e0, e1, ... in failure domain a, and a chooser of that domain that learns capacity.
+struct Pool {
+    explicit Pool(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            EndpointEntry entry;
+            entry.id = "e" + std::to_string(i);
+            entry.service = "pool";
+            entry.failureDomain = "a";
+            entry.slots = 8;
+            this->entries.push_back(entry);
+        }
+        for (const EndpointEntry &entry : this->entries) {
+            this->pointers.push_back(&entry);
+        }
+        this->chooser.loads().setLearnsCapacity(true);
+    }
+
+    /// Number of `requests` choices that fall on each endpoint; none of them is sent.
+    std::map<std::string, int> draw(const ChoiceQuery &query, int requests = 200)
+    {
+        std::map<std::string, int> drawn;
+        for (int i = 0; i < requests; ++i) {
+            ++drawn[this->chooser.choose(this->pointers, query, start, this->random)->endpoint.id];
+        }
+        return drawn;
+    }
+
+    std::vector<EndpointEntry> entries;
+    std::vector<const EndpointEntry *> pointers;
+    EndpointChooser chooser {"a"};
+    RandomSource random {1};
+};
+
+ChoiceQuery shortPrompt()
+{
+    ChoiceQuery query;
+    query.service = "pool";
+    query.model = "large";
+    query.promptTokens = 1000;
+    return query;
+}
+
+ChoiceQuery longPrompt()
+{
+    ChoiceQuery query = shortPrompt();
+    query.promptTokens = 17000;
+    query.parts = {{"shared", 13000}, {"own", 4000}};
+    query.memoryTokens = 500000;
+    return query;
+}
+
+/// Statistics of a service whose other instances send `perSecond` requests and see the expected times.
+ServiceStatisticsMap peerRequests(double perSecond)
+{
+    return {{"pool", {{1000, 1000}, {0, perSecond * 2}, {}}}};
+}
+
+EndpointUsage queuedPrompts(Duration time)
+{
+    EndpointUsage usage;
+    usage.pendingPromptTime = time;
+    return usage;
+}
+} // namespace
+
+TEST_CASE("The endpoints of the own failure domain are used until their queues cost more than the traffic", "[spread]")
+{
+    Pool pool(4);
+    pool.entries[2].failureDomain = "b";
+    pool.entries[3].failureDomain = "b";
+    const ChoiceQuery query = shortPrompt();
+    // With equal queues, all requests stay.
+    pool.chooser.loads().setPeerUsage({}, peerRequests(20), start);
+    auto drawn = pool.draw(query);
+    CHECK(drawn["e0"] + drawn["e1"] == 200);
+    // With queues that the others have not, most leave. They would all stay if the level of the own domain were not compared, or with the wrong sign.
+    pool.chooser.loads().setPeerUsage({{endpointKey("e0"), queuedPrompts(3s)}, {endpointKey("e1"), queuedPrompts(3s)}}, peerRequests(4), start);
+    drawn = pool.draw(query);
+    CHECK(drawn["e2"] + drawn["e3"] == 200);
+    pool.chooser.loads().setPeerUsage({{endpointKey("e2"), queuedPrompts(3s)}, {endpointKey("e3"), queuedPrompts(3s)}}, peerRequests(4), start);
+    drawn = pool.draw(query);
+    CHECK(drawn["e0"] + drawn["e1"] == 200);
+}
+
+TEST_CASE("A long body is sent to another failure domain only for a large gain", "[spread]")
+{
+    // The traffic of 100 KB costs as much as 600 ms.
+    Pool pool(2);
+    pool.entries[1].failureDomain = "b";
+    ChoiceQuery query = shortPrompt();
+    pool.chooser.loads().setPeerUsage({{endpointKey("e0"), queuedPrompts(300ms)}}, {}, start);
+    CHECK(pool.draw(query)["e1"] == 200);
+    query.bodyBytes = 100 * 1024;
+    CHECK(pool.draw(query)["e0"] == 200);
+    pool.chooser.loads().setPeerUsage({{endpointKey("e0"), queuedPrompts(2s)}}, {}, start);
+    CHECK(pool.draw(query)["e1"] == 200);
+}
+
+TEST_CASE("Requests follow a cached prompt and the home of its prefix unless the queue there costs more", "[spread]")
+{
+    Pool pool(6);
+    const ChoiceQuery query = longPrompt();
+    const auto others = peerRequests(10);
+    pool.chooser.loads().setPeerUsage({}, others, start);
+    // No endpoint has the prompt: all go to the home, where later requests find it.
+    const std::string home = pool.chooser.choose({pool.pointers}, query, start, pool.random)->endpoint.id;
+    CHECK(pool.draw(query)[home] == 200);
+    // Another endpoint has it: that saves more than the home would.
+    const std::string holder = home == "e0" ? "e1" : "e0";
+    pool.chooser.recordPlacement(holder, cachedParts(promptPrefixKeys(query.model, query.parts), query.parts), query.memoryTokens);
+    CHECK(pool.draw(query)[holder] == 200);
+    // With a queue longer than the whole prompt takes there, they leave.
+    pool.chooser.loads().setPeerUsage({{endpointKey(holder), queuedPrompts(5s)}}, others, start);
+    CHECK(pool.draw(query)[holder] == 0);
+}
+
+TEST_CASE("An endpoint in back-off gets no request of the spread while another is left", "[spread]")
+{
+    Pool pool(3);
+    const ChoiceQuery query = shortPrompt();
+    pool.chooser.loads().setPeerUsage({}, peerRequests(100), start);
+    const LoadTicket ticket = pool.chooser.begin(query, *pool.chooser.choose({pool.pointers[0]}, query, start, pool.random));
+    pool.chooser.end(ticket, EndpointResult::NoResponse, start);
+    const auto drawn = pool.draw(query);
+    CHECK_FALSE(drawn.contains("e0"));
+    CHECK(drawn.size() == 2);
+    CHECK(pool.chooser.choose({pool.pointers[0]}, query, start, pool.random)->endpoint.id == "e0");
+}
