--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -260,7 +260,9 @@
     const bool wasQueueEmpty = load.waitingPromptTime() <= ticket.expectedPrompt;
     if (!query.model.empty() && use == ObservationUse::Service) {
         const PromptQueue queue = wasQueueEmpty ? PromptQueue::Empty : PromptQueue::Possible;
-        this->engineSpeeds.recordPrompt(query.service, query.model, choice.uncachedTokens, now - started, queue);
+        // Without the engine's relative time, the nominal speed would depend on which engines this instance has used last.
+        const Duration atNominalSpeed = scaled(now - started, 1 / this->endpointLoads.relativeTime(load, now));
+        this->engineSpeeds.recordPrompt(query.service, query.model, choice.uncachedTokens, atNominalSpeed, queue);
     }
     this->endpointLoads.recordFirstOutput(ticket, now - started, choice.nominalFirstOutput, now, use);
 }
--- a/Tests/LibGateway/TestEndpointSpread.cpp
+++ b/Tests/LibGateway/TestEndpointSpread.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <utility>
 
 using namespace Godwitfork;
 using namespace std::chrono_literals;
@@ -76,6 +77,36 @@
 }
 } // namespace
 
+TEST_CASE("Instances that last used engines of different speed report the same relative time", "[spread]")
+{
+    // The nominal speed of an instance is an average of its last ten prompts. It followed the engines that these were sent to, so that an instance that had
+    // used slow ones reported all others as fast.
+    std::vector<double> reported;
+    for (const auto &[used, usedTime] : {std::pair(0, 1.7), std::pair(1, 0.7)}) {
+        Pool pool(3);
+        EndpointUsageMap usage;
+        usage[endpointKey("e0")].relativeTimes = {1.7 * 200, 200};
+        usage[endpointKey("e1")].relativeTimes = {0.7 * 200, 200};
+        pool.chooser.loads().setPeerUsage(usage, peerRequests(1), start);
+        ChoiceQuery query = shortPrompt();
+        query.promptTokens = 10000;
+        const auto send = [&](std::size_t endpoint, double relativeTime) {
+            const auto choice = pool.chooser.choose({pool.pointers[endpoint]}, query, start, pool.random);
+            LoadTicket ticket = pool.chooser.begin(query, *choice);
+            const Duration elapsed = std::chrono::duration_cast<Duration>(188ms * relativeTime);
+            pool.chooser.recordFirstOutput(ticket, query, *choice, start - elapsed, start);
+            pool.chooser.end(ticket, EndpointResult::Success, start);
+        };
+        for (int i = 0; i < 20; ++i) {
+            send(static_cast<std::size_t>(used), usedTime);
+        }
+        send(2, 1);
+        const ObservationSum evidence = pool.chooser.loads().ownUsage(start).at(endpointKey("e2")).relativeTimes;
+        reported.push_back(evidence.sum / evidence.weight);
+    }
+    CHECK(reported[0] == Approx(reported[1]).epsilon(0.05));
+}
+
 TEST_CASE("The endpoints of the own failure domain are used until their queues cost more than the traffic", "[spread]")
 {
     Pool pool(4);
