Expect at few candidates only their share of the service's requests

The spread counted all requests of the other instances as load of the candidates, also where these were the few endpoints of a version under trial or of a home region. Endpoints of evacuated domains don't count, since nobody uses them.

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -229,6 +229,7 @@
     query.parts = this->gatewayRequest.promptParts;
     query.excluded = this->triedEndpoints;
     query.bodyBytes = this->exchange.request().body.size();
+    query.serviceEndpoints = this->serviceEndpointCount();
     const ServiceProperties *properties = this->routes->findService(this->service);
     if (properties && properties->engine) {
         query.memoryTokens = properties->engine->memoryTokens;
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -106,6 +106,8 @@
     std::vector<const EndpointEntry *> candidates(bool hasFailed) const;
     /// Ready endpoints of the service that this instance may send the request to now, by placement and by what they say of themselves.
     std::vector<const EndpointEntry *> availableEndpoints() const;
+    /// Number of endpoints that requests of all kinds to the service may use; 0 unless capacity is learned.
+    std::size_t serviceEndpointCount() const;
     PlacementObstacle placementObstacle(const EndpointEntry &endpoint) const;
     /// Counts and logs a refusal if placement allows none of the service's ready endpoints, and sets its reason.
     void recordPlacementRefusal();
--- a/Libraries/LibEntry/RequestRunPlacement.cpp
+++ b/Libraries/LibEntry/RequestRunPlacement.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Godwitfork
 {
 
@@ -15,6 +17,17 @@
     return findPlacementObstacle(endpoint.failureDomain, this->state.failureDomains, home);
 }
 
+std::size_t RequestRun::serviceEndpointCount() const
+{
+    if (!this->state.chooser.loads().learnsCapacity()) {
+        return 0;
+    }
+    // No request uses the endpoints of evacuated domains, so what all send goes to the others.
+    const std::vector<const EndpointEntry *> ready = this->state.endpoints.ready(this->service);
+    const auto isOpen = [this](const EndpointEntry *endpoint) { return !this->state.failureDomains.evacuated.contains(endpoint->failureDomain); };
+    return static_cast<std::size_t>(std::count_if(ready.begin(), ready.end(), isOpen));
+}
+
 void RequestRun::recordPlacementRefusal()
 {
     PlacementCounts counts;
--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -158,7 +158,9 @@
     if (all.empty()) {
         return std::nullopt;
     }
-    const double unseen = this->endpointLoads.peerRequestsPerSecond(query.service) * std::chrono::duration<double>(unseenTime).count();
+    // Requests that other endpoints of the service can take as well are spread over those, too.
+    const double candidateShare = static_cast<double>(all.size()) / static_cast<double>(std::max(all.size(), query.serviceEndpoints));
+    const double unseen = this->endpointLoads.peerRequestsPerSecond(query.service) * std::chrono::duration<double>(unseenTime).count() * candidateShare;
     const double level = costLevel(all, unseen);
     std::size_t best = drawEndpoint(all, level, random);
     const auto expectedCost = [&](const Candidate &candidate) { return std::max(candidate.cost, level) - candidate.saving + candidate.remotePenalty; };
--- a/Libraries/LibGateway/EndpointChooser.h
+++ b/Libraries/LibGateway/EndpointChooser.h
@@ -24,6 +24,8 @@
     /// Capacity of one engine's key-value cache, in tokens.
     std::int64_t memoryTokens = 0;
     std::size_t bodyBytes = 0;
+    /// Number of endpoints that requests of all kinds to the service may use, candidates or not; 0 if these are the candidates.
+    std::size_t serviceEndpoints = 0;
     /// Ids of the endpoints that this request has already tried.
     std::set<std::string> excluded;
 };
--- a/Tests/LibGateway/TestEndpointSpread.cpp
+++ b/Tests/LibGateway/TestEndpointSpread.cpp
@@ -170,3 +170,14 @@
     CHECK(drawn.size() == 2);
     CHECK(pool.chooser.choose({pool.pointers[0]}, query, start, pool.random)->endpoint.id == "e0");
 }
+
+TEST_CASE("Requests that few endpoints may serve expect only their share of what the other instances send", "[spread]")
+{
+    // All requests of a service counted as load on the two endpoints of a version under trial or of a home region, so that a third went to one with a queue.
+    Pool pool(2);
+    pool.chooser.loads().setPeerUsage({{endpointKey("e1"), queuedPrompts(500ms)}}, peerRequests(20), start);
+    ChoiceQuery query = shortPrompt();
+    CHECK(pool.draw(query)["e1"] > 30);
+    query.serviceEndpoints = 10;
+    CHECK(pool.draw(query)["e1"] == 0);
+}
