--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -158,7 +158,9 @@
     if (all.empty()) {
         return std::nullopt;
     }
-    const double unseen = this->endpointLoads.peerRequestsPerSecond(query.service) * std::chrono::duration<double>(unseenTime).count();
+    // Requests that other endpoints of the service can take as well are spread over those, too.
+    const double candidateShare = static_cast<double>(all.size()) / static_cast<double>(std::max(all.size(), query.serviceEndpoints));
+    const double unseen = this->endpointLoads.peerRequestsPerSecond(query.service) * std::chrono::duration<double>(unseenTime).count() * candidateShare;
     const double level = costLevel(all, unseen);
     std::size_t best = drawEndpoint(all, level, random);
     const auto expectedCost = [&](const Candidate &candidate) { return std::max(candidate.cost, level) - candidate.saving + candidate.remotePenalty; };
@@ -260,7 +262,9 @@
     const bool wasQueueEmpty = load.waitingPromptTime() <= ticket.expectedPrompt;
     if (!query.model.empty() && use == ObservationUse::Service) {
         const PromptQueue queue = wasQueueEmpty ? PromptQueue::Empty : PromptQueue::Possible;
-        this->engineSpeeds.recordPrompt(query.service, query.model, choice.uncachedTokens, now - started, queue);
+        // Without the engine's relative time, the nominal speed would depend on which engines this instance has used last.
+        const Duration atNominalSpeed = scaled(now - started, 1 / this->endpointLoads.relativeTime(load, now));
+        this->engineSpeeds.recordPrompt(query.service, query.model, choice.uncachedTokens, atNominalSpeed, queue);
     }
     this->endpointLoads.recordFirstOutput(ticket, now - started, choice.nominalFirstOutput, now, use);
 }
