--- a/Libraries/LibEntry/ColdEndpoints.cpp
+++ b/Libraries/LibEntry/ColdEndpoints.cpp
@@ -83,16 +83,14 @@
 
 void updateColdEndpoints(EntryState &state, const std::vector<FleetMember> &members, MonotonicTime now)
 {
-    if (!state.routes) {
+    if (!state.routes || !state.coldStarts.isFleetUpdateDue(now)) {
         return;
     }
     const std::vector<ServiceProperties> &services = state.routes->configuration().services;
     if (std::none_of(services.begin(), services.end(), [&](const ServiceProperties &service) { return isBounded(coldRule(state.settings, &service)); })) {
         return;
     }
-    if (state.coldStarts.isFleetUpdateDue(now)) {
-        state.coldStarts.updateFleet(fleetContacts(state.settings, members), now);
-    }
+    state.coldStarts.updateFleet(fleetContacts(state.settings, members), now);
     for (const ServiceProperties &service : services) {
         const ColdRule rule = coldRule(state.settings, &service);
         if (!isBounded(rule)) {
--- a/Libraries/LibEntry/ColdEndpoints.h
+++ b/Libraries/LibEntry/ColdEndpoints.h
@@ -18,7 +18,7 @@
 void removeColdEndpoints(EntryState &state, const ServiceProperties *service, std::vector<const EndpointEntry *> &endpoints, MonotonicTime now);
 
 /// Brings the ranks of this instance up to date, finds endpoints that were lost by what other instances have reported, and logs the endpoints that
-/// became cold or warm. Call on each timer tick.
+/// became cold or warm. Call on each timer tick; does so every 500 ms.
 void updateColdEndpoints(EntryState &state, const std::vector<FleetMember> &members, MonotonicTime now);
 
 /// Number of endpoints that are, or may be, cold.
--- a/Tests/LibColdStart/ColdFleet.cpp
+++ b/Tests/LibColdStart/ColdFleet.cpp
@@ -354,8 +354,8 @@
                 return rendezvousScore(endpoint, other) > rendezvousScore(endpoint, instance.address);
             }));
             instance.starts.updateFleet(contacts, now);
+            readHealth(instance, now);
         }
-        readHealth(instance, now);
     }
 
     static void readHealth(Instance &instance, MonotonicTime now)
