Compare models by the forecast of a typical choice

Each option was predicted at an endpoint drawn for it, without the level to which the other instances raise its cost. Near an objective the chosen model changed from draw to draw. The forecast uses the level and draws nothing; without learned capacity it is the choice as before.

--- a/Libraries/LibCapacity/LoadSpread.cpp
+++ b/Libraries/LibCapacity/LoadSpread.cpp
@@ -26,16 +26,21 @@
     return level;
 }
 
+std::size_t cheapestEndpoint(const std::vector<EndpointCost> &endpoints)
+{
+    const auto cheapest =
+        std::min_element(endpoints.begin(), endpoints.end(), [](const EndpointCost &left, const EndpointCost &right) { return left.cost < right.cost; });
+    return static_cast<std::size_t>(cheapest - endpoints.begin());
+}
+
 std::size_t drawEndpoint(const std::vector<EndpointCost> &endpoints, double level, RandomSource &random)
 {
     double total = 0;
-    std::size_t cheapest = 0;
-    for (std::size_t i = 0; i < endpoints.size(); ++i) {
-        total += std::max(0.0, level - endpoints[i].cost) / endpoints[i].increment;
-        cheapest = endpoints[i].cost < endpoints[cheapest].cost ? i : cheapest;
+    for (const EndpointCost &endpoint : endpoints) {
+        total += std::max(0.0, level - endpoint.cost) / endpoint.increment;
     }
     if (total <= 0) {
-        return cheapest;
+        return cheapestEndpoint(endpoints);
     }
     double draw = std::uniform_real_distribution<double>(0, total)(random);
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
@@ -44,7 +49,7 @@
             return i;
         }
     }
-    return cheapest;
+    return cheapestEndpoint(endpoints);
 }
 
 } // namespace Godwitfork
--- a/Libraries/LibEntry/ModelSelection.cpp
+++ b/Libraries/LibEntry/ModelSelection.cpp
@@ -93,10 +93,10 @@
         }
         option.relativeCost = this->relativeCost(query.model);
         option.firstOutput = inputs.times.remaining;
-        const auto choice = this->state.chooser.choose(inputs.endpoints, query, inputs.now, this->state.random);
-        if (choice) {
-            option.promptTime = choice->promptTime;
-            option.firstOutput = std::max(choice->firstOutput, choice->promptTime + inputs.times.meanPromptWait);
+        const auto forecast = this->state.chooser.forecast(inputs.endpoints, query, inputs.now, this->state.random);
+        if (forecast) {
+            option.promptTime = forecast->promptTime;
+            option.firstOutput = std::max(forecast->firstOutput, forecast->promptTime + inputs.times.meanPromptWait);
         }
         option.lastOutput = option.firstOutput + this->state.chooser.speeds().outputTime(query.service, query.model, this->expectedOutput());
         options.push_back(option);
--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -143,7 +143,8 @@
     return candidate;
 }
 
-std::optional<EndpointChoice> EndpointChooser::chooseSpread(std::vector<Candidate> candidates, const ChoiceQuery &query, RandomSource &random) const
+std::optional<EndpointChooser::SpreadChoice>
+EndpointChooser::chooseSpread(const std::vector<Candidate> &candidates, const ChoiceQuery &query, RandomSource *random) const
 {
     std::vector<EndpointCost> all;
     std::vector<EndpointCost> local;
@@ -158,73 +159,101 @@
     if (all.empty()) {
         return std::nullopt;
     }
+    const auto pick = [random](const std::vector<EndpointCost> &costs, double level) {
+        return random ? drawEndpoint(costs, level, *random) : cheapestEndpoint(costs);
+    };
     // Requests that other endpoints of the service can take as well are spread over those, too.
     const double candidateShare = static_cast<double>(all.size()) / static_cast<double>(std::max(all.size(), query.serviceEndpoints));
     const double unseen = this->endpointLoads.peerRequestsPerSecond(query.service) * std::chrono::duration<double>(unseenTime).count() * candidateShare;
     const double level = costLevel(all, unseen);
-    std::size_t best = drawEndpoint(all, level, random);
+    SpreadChoice best {pick(all, level), level};
     const auto expectedCost = [&](const Candidate &candidate) { return std::max(candidate.cost, level) - candidate.saving + candidate.remotePenalty; };
-    double bestCost = expectedCost(candidates[best]);
+    double bestCost = expectedCost(candidates[best.position]);
     if (!local.empty()) {
         // The instances of each failure domain send to their own endpoints first.
         const double localLevel = costLevel(local, unseen * static_cast<double>(local.size()) / static_cast<double>(all.size()));
-        const std::size_t position = localPositions[drawEndpoint(local, localLevel, random)];
+        const std::size_t position = localPositions[pick(local, localLevel)];
         const double localCost = std::max(candidates[position].cost, localLevel) - candidates[position].saving;
         if (localCost <= bestCost) {
-            best = position;
+            best = {position, localLevel};
             bestCost = localCost;
         }
     }
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         if (candidates[i].saving > 0 && expectedCost(candidates[i]) < bestCost) {
-            best = i;
+            best = {i, level};
             bestCost = expectedCost(candidates[i]);
         }
     }
-    return std::move(candidates[best].choice);
+    return best;
 }
 
-std::optional<EndpointChoice>
-EndpointChooser::choose(const std::vector<const EndpointEntry *> &candidates, const ChoiceQuery &query, MonotonicTime now, RandomSource &random) const
+std::vector<EndpointChooser::Candidate>
+EndpointChooser::assessAll(const std::vector<const EndpointEntry *> &candidates, const ChoiceQuery &query, MonotonicTime now) const
 {
     const std::vector<std::uint64_t> prefixKeys = promptPrefixKeys(query.model, query.parts);
     const std::optional<std::uint64_t> key = query.model.empty() ? std::nullopt : findSharedPrefix(query, prefixKeys);
     const std::string home = key ? findHome(candidates, *key) : std::string();
-    std::uniform_real_distribution<double> jitter(1, 1 + scoreJitter);
-    std::optional<EndpointChoice> best;
-    std::vector<Candidate> spread;
-    double bestScore = std::numeric_limits<double>::max();
+    std::vector<Candidate> assessed;
     for (const EndpointEntry *candidate : candidates) {
         if (query.excluded.contains(candidate->id)) {
             continue;
         }
         EndpointChoice choice = this->predict(*candidate, query, prefixKeys, now);
-        Duration cost = choice.firstOutput;
         choice.sharedPrefixKey = key;
         choice.isHome = candidate->id == home;
-        if (this->endpointLoads.learnsCapacity()) {
-            spread.push_back(this->assess(*candidate, query, std::move(choice), now));
-            continue;
-        }
+        assessed.push_back(this->assess(*candidate, query, std::move(choice), now));
+    }
+    return assessed;
+}
+
+std::optional<EndpointChoice>
+EndpointChooser::choose(const std::vector<const EndpointEntry *> &candidates, const ChoiceQuery &query, MonotonicTime now, RandomSource &random) const
+{
+    std::vector<Candidate> assessed = this->assessAll(candidates, query, now);
+    if (this->endpointLoads.learnsCapacity()) {
+        const auto spread = this->chooseSpread(assessed, query, &random);
+        return spread ? std::optional(std::move(assessed[spread->position].choice)) : std::nullopt;
+    }
+    std::uniform_real_distribution<double> jitter(1, 1 + scoreJitter);
+    Candidate *best = nullptr;
+    double bestScore = std::numeric_limits<double>::max();
+    for (Candidate &candidate : assessed) {
+        const EndpointChoice &choice = candidate.choice;
+        Duration cost = choice.firstOutput;
         if (choice.isHome) {
             cost -= scaled(choice.promptTime, homeSavingShare);
         }
-        cost += this->remoteCost(*candidate, query);
-        const double failureShare = meanWithPrior(this->endpointLoads.find(candidate->id).fleetFailures(now), 0, priorObservations);
+        cost += this->remoteCost(choice.endpoint, query);
+        const double failureShare = meanWithPrior(this->endpointLoads.find(choice.endpoint.id).fleetFailures(now), 0, priorObservations);
         double score = static_cast<double>(cost.count()) * (1 + failureWeight * failureShare) * jitter(random);
         // The penalty exceeds any expected time, so an endpoint in back-off is used only if all candidates are.
-        if (this->endpointLoads.isAvoided(candidate->id, now)) {
+        if (this->endpointLoads.isAvoided(choice.endpoint.id, now)) {
             score += static_cast<double>(Duration(std::chrono::hours(1)).count());
         }
         if (score < bestScore) {
             bestScore = score;
-            best = std::move(choice);
+            best = &candidate;
         }
     }
-    if (this->endpointLoads.learnsCapacity()) {
-        return this->chooseSpread(std::move(spread), query, random);
+    return best ? std::optional(std::move(best->choice)) : std::nullopt;
+}
+
+std::optional<ServiceForecast>
+EndpointChooser::forecast(const std::vector<const EndpointEntry *> &candidates, const ChoiceQuery &query, MonotonicTime now, RandomSource &random) const
+{
+    if (!this->endpointLoads.learnsCapacity()) {
+        const auto choice = this->choose(candidates, query, now, random);
+        return choice ? std::optional(ServiceForecast {choice->promptTime, choice->firstOutput}) : std::nullopt;
     }
-    return best;
+    const std::vector<Candidate> assessed = this->assessAll(candidates, query, now);
+    const auto spread = this->chooseSpread(assessed, query, nullptr);
+    if (!spread) {
+        return std::nullopt;
+    }
+    const Candidate &typical = assessed[spread->position];
+    const std::chrono::duration<double, std::micro> wait(std::max(0.0, spread->level - typical.cost));
+    return ServiceForecast {typical.choice.promptTime, typical.choice.firstOutput + std::chrono::duration_cast<Duration>(wait)};
 }
 
 LoadTicket EndpointChooser::begin(const ChoiceQuery &query, const EndpointChoice &choice)
--- a/Libraries/LibGateway/EndpointChooser.h
+++ b/Libraries/LibGateway/EndpointChooser.h
@@ -30,6 +30,15 @@
     std::set<std::string> excluded;
 };
 
+/// Expected times of a request to a service, before an endpoint is chosen for it.
+struct ServiceForecast {
+    /// Expected time until the endpoint has read the request's own uncached prompt tokens.
+    Duration promptTime = Duration::zero();
+    /// Expected time until the first output, including the prompts that are queued and, if capacity is learned, those that other instances send
+    /// meanwhile.
+    Duration firstOutput = Duration::zero();
+};
+
 struct EndpointChoice {
     EndpointEntry endpoint;
     /// Expected time until the endpoint has read the request's own uncached prompt tokens.
@@ -56,6 +65,11 @@
     std::optional<EndpointChoice>
     choose(const std::vector<const EndpointEntry *> &candidates, const ChoiceQuery &query, MonotonicTime now, RandomSource &random) const;
 
+    /// Returns what a typical choice would expect; empty if there is no choice. If capacity is learned, it depends on the view alone and draws no
+    /// endpoint, so that forecasts for several models can be compared.
+    std::optional<ServiceForecast>
+    forecast(const std::vector<const EndpointEntry *> &candidates, const ChoiceQuery &query, MonotonicTime now, RandomSource &random) const;
+
     /// Records that the request is sent to the chosen endpoint.
     LoadTicket begin(const ChoiceQuery &query, const EndpointChoice &choice);
     /// `use` tells whether the time is an observation of the service's usual speed.
@@ -93,9 +107,17 @@
         double remotePenalty = 0;
     };
 
+    struct SpreadChoice {
+        std::size_t position = 0;
+        /// Cost to which the requests of all instances raise the endpoints among which it was chosen.
+        double level = 0;
+    };
+
     Candidate assess(const EndpointEntry &endpoint, const ChoiceQuery &query, EndpointChoice choice, MonotonicTime now) const;
-    /// Chooses so that the requests which all instances send before they see each other's load are spread over the endpoints.
-    std::optional<EndpointChoice> chooseSpread(std::vector<Candidate> candidates, const ChoiceQuery &query, RandomSource &random) const;
+    std::vector<Candidate> assessAll(const std::vector<const EndpointEntry *> &candidates, const ChoiceQuery &query, MonotonicTime now) const;
+    /// Chooses so that the requests which all instances send before they see each other's load are spread over the endpoints. Without `random`, the
+    /// cheapest endpoint stands for all that may be drawn, which cost the same at the level. Empty if there are no candidates.
+    std::optional<SpreadChoice> chooseSpread(const std::vector<Candidate> &candidates, const ChoiceQuery &query, RandomSource *random) const;
     Duration remoteCost(const EndpointEntry &endpoint, const ChoiceQuery &query) const;
     EndpointChoice predict(const EndpointEntry &endpoint, const ChoiceQuery &query, const std::vector<std::uint64_t> &prefixKeys, MonotonicTime now) const;
 
--- a/Tests/LibGateway/TestEndpointSpread.cpp
+++ b/Tests/LibGateway/TestEndpointSpread.cpp
@@ -181,3 +181,25 @@
     query.serviceEndpoints = 10;
     CHECK(pool.draw(query)["e1"] == 0);
 }
+
+TEST_CASE("The forecast for a model is that of a typical choice and the same each time", "[spread]")
+{
+    // Models were compared by an endpoint drawn for each, without what the other instances send, so that the chosen model changed from draw to draw.
+    Pool pool(3);
+    EndpointUsageMap usage;
+    usage[endpointKey("e0")].relativeTimes = {2 * 200, 200};
+    const ChoiceQuery query = shortPrompt();
+    pool.chooser.loads().setPeerUsage(usage, peerRequests(0), start);
+    const Duration idle = pool.chooser.forecast(pool.pointers, query, start, pool.random)->firstOutput;
+    CHECK(idle == 65ms);
+    pool.chooser.loads().setPeerUsage(usage, peerRequests(20), start);
+    const RandomSource before = pool.random;
+    const auto forecast = pool.chooser.forecast(pool.pointers, query, start, pool.random);
+    // 20 requests of 65 ms, of which the slow endpoint gets a fifth at most.
+    CHECK(forecast->firstOutput > 500ms);
+    CHECK(forecast->firstOutput < 715ms);
+    CHECK(forecast->promptTime == 65ms);
+    const bool drewNothing = pool.random == before;
+    CHECK(drewNothing);
+    CHECK_FALSE(pool.chooser.forecast({}, query, start, pool.random));
+}
