Leave the memory out of the crowd tests in builds with a sanitizer

The bound is that of the machine's limit, and a sanitizer's own memory (shadow and quarantine) exceeds it by itself.

--- a/Tests/UntrustedCallers/ProcessWatch.h
+++ b/Tests/UntrustedCallers/ProcessWatch.h
@@ -7,6 +7,13 @@
 namespace Godwitfork
 {
 
+/// Whether the programs are built with a sanitizer, whose own memory exceeds that of the process.
+#ifdef GODWITFORK_SANITIZED
+constexpr bool isSanitized = true;
+#else
+constexpr bool isSanitized = false;
+#endif
+
 /// Largest resident size of a process since its start, in bytes.
 std::size_t peakResidentBytes(int processId);
 /// Open descriptors of a process.
--- a/Tests/UntrustedCallers/TestEntryCrowds.cpp
+++ b/Tests/UntrustedCallers/TestEntryCrowds.cpp
@@ -62,7 +62,9 @@
         }
     }
     CHECK(entry.process->isRunning());
-    CHECK(resident <= maxResidentBytes);
+    if (!isSanitized) {
+        CHECK(resident <= maxResidentBytes);
+    }
     CHECK(mostDescriptors <= descriptorLimit - spareDescriptors);
     CHECK(isAnswered);
 }
--- a/Tests/UntrustedCallers/TestRouterCrowds.cpp
+++ b/Tests/UntrustedCallers/TestRouterCrowds.cpp
@@ -97,7 +97,9 @@
     WARN("resident peak " << resident / 1000 << " kB of " << maxResidentBytes / 1000 << ", descriptors " << mostDescriptors << " of " << router.descriptorLimit
                           << ", ordinary request " << (isAnswered ? "answered" : "not answered"));
     CHECK(router.process().isRunning());
-    CHECK(resident <= maxResidentBytes);
+    if (!isSanitized) {
+        CHECK(resident <= maxResidentBytes);
+    }
     CHECK(mostDescriptors <= router.descriptorLimit - spareDescriptors);
     CHECK(isAnswered);
 }
