--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -113,8 +113,9 @@
     settings.coldTolerance = readFraction(reader, "cold_tolerance", settings.coldTolerance, 0, 1'000'000);
     settings.evacuationLimit = reader.milliseconds("evacuation_limit_ms", 0, 0, 600'000);
     settings.domainRegions = readDomainRegions(reader);
-    settings.learnsCapacity = readSwitch(reader, "learned_capacity", needs.hasUnevenPools);
-    settings.controlsOverload = readSwitch(reader, "overload_control", needs.hasUnevenPools);
+    settings.learnsCapacity = readSwitch(reader, "learned_capacity", needs.hasEndpointsUnderPressure);
+    settings.sendsPriorities = readSwitch(reader, "engine_priorities", needs.hasEndpointsUnderPressure);
+    settings.controlsOverload = readSwitch(reader, "overload_control", false);
     findings.append(reader.finish());
     return settings;
 }
@@ -154,6 +155,7 @@
         << "cold_tolerance: " << settings.coldTolerance << "\n"
         << "evacuation_limit_ms: " << milliseconds(settings.evacuationLimit) << "\n"
         << "learned_capacity: " << switchText(settings.learnsCapacity) << "\n"
+        << "engine_priorities: " << switchText(settings.sendsPriorities) << "\n"
         << "overload_control: " << switchText(settings.controlsOverload) << "\n"
         << (settings.domainRegions.empty() ? "domain_regions: []\n" : "domain_regions:\n");
     for (const auto &[domain, region] : settings.domainRegions) {
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -69,6 +69,8 @@
     std::map<std::string, std::string> domainRegions;
     /// Whether the capacity of each endpoint is learned from the times of its answers.
     bool learnsCapacity = false;
+    /// Whether engines are told the priority of the account or the route, so that they admit urgent requests first.
+    bool sendsPriorities = false;
     /// Whether requests that cannot be served in time are refused.
     bool controlsOverload = false;
 
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -324,7 +324,7 @@
     headers.remaining = remaining;
     headers.model = this->gatewayRequest.model.empty() ? this->currentAttempt->query.model : std::string();
     headers.resumeAfter = this->lastEventId;
-    if (this->state.settings.controlsOverload && this->modelSelection.isChoosing()) {
+    if (this->state.settings.sendsPriorities && this->modelSelection.isChoosing()) {
         headers.enginePriority = requestPriority(*this->route, this->account);
     }
     const Duration limit = attemptTimeLimit(this->progress, remaining);
--- a/Tests/LibEntry/TestEntrySettings.cpp
+++ b/Tests/LibEntry/TestEntrySettings.cpp
@@ -53,18 +53,21 @@
 }
 
 // Guards against parts that take effect where the deployment does not call for them.
-TEST_CASE("Parts for uneven pools, cold endpoints and evacuations are off unless the settings call for them", "[settings]")
+TEST_CASE("Parts for endpoints under pressure, cold endpoints and evacuations are off unless the settings call for them", "[settings]")
 {
     Findings findings;
-    const EntrySettings plain = parseEntrySettings("s.yaml", complete + "contracts: [base, engine]\n", findings);
+    const EntrySettings plain = parseEntrySettings("s.yaml", complete + "contracts: [base, engine, pool]\n", findings);
     CHECK_FALSE(plain.learnsCapacity);
+    CHECK_FALSE(plain.sendsPriorities);
     CHECK_FALSE(plain.controlsOverload);
     CHECK(plain.evacuationLimit == 0s);
-    const std::string asked = "contracts: [base, pool]\noverload_control: off\nevacuation_limit_ms: 5000\ncold_overage: 1.5\ncold_tolerance: 5\n"
+    const std::string asked = "contracts: [base, pressure]\nengine_priorities: off\nevacuation_limit_ms: 5000\ncold_overage: 1.5\ncold_tolerance: 5\n"
                               "domain_regions: [\"a=north\", \"b=south\"]\n";
     const EntrySettings settings = parseEntrySettings("s.yaml", complete + asked, findings);
     CHECK(settings.learnsCapacity);
+    CHECK_FALSE(settings.sendsPriorities);
     CHECK_FALSE(settings.controlsOverload);
+    CHECK(parseEntrySettings("s.yaml", complete + "overload_control: on\n", findings).controlsOverload);
     CHECK(settings.evacuationLimit == 5s);
     CHECK(settings.coldOverage == Approx(1.5));
     CHECK(settings.coldTolerance == Approx(5));
