Hold back or refuse requests under overload by their forecast

With overload_control, a first attempt is refused at once (503, not run) only if the forecast of the chosen endpoint and the observed waits both exclude that its answer is complete before the deadline, and never while less than half of the places are taken and nothing is queued. A request with time to spare is held back, up to its objective, while more urgent kinds are at risk.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -63,6 +63,8 @@
                                                               .Name("godwitfork_entry_ignored_items")
                                                               .Help("Store objects and items of peers that were not understood, by source and cause")
                                                               .Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &admissions =
+        prometheus::BuildGauge().Name("godwitfork_entry_admissions").Help("Admission decisions since the start, by route and outcome").Register(this->registry);
     prometheus::Family<prometheus::Gauge> &gauges =
         prometheus::BuildGauge().Name("godwitfork_entry_belief").Help("What the process believes, by name").Register(this->registry);
 };
@@ -136,6 +138,9 @@
     for (const auto &[key, count] : gauges.ignoredItems) {
         this->state->ignoredItems.Add({{"source", key.first}, {"cause", key.second}}).Set(static_cast<double>(count));
     }
+    for (const auto &[key, count] : gauges.admissions) {
+        this->state->admissions.Add({{"route", key.first}, {"outcome", key.second}}).Set(static_cast<double>(count));
+    }
     return prometheus::TextSerializer().Serialize(this->state->registry.Collect());
 }
 
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -23,6 +23,8 @@
     bool isReady = false;
     /// Number of items that were not understood since the start, by source and cause.
     std::map<std::pair<std::string, std::string>, std::uint64_t> ignoredItems;
+    /// Number of admission decisions since the start, by route and outcome.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> admissions;
 };
 
 /// Metrics of one entry process in the Prometheus text format.
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -137,6 +137,7 @@
     }
     gauges.endpoints = static_cast<double>(this->state.endpoints.size());
     gauges.ignoredItems = this->state.ignoredItems.counts();
+    gauges.admissions = this->state.overload.counts();
     for (const MemoryUse use : memoryUses) {
         gauges.memoryHeldBytes[memoryUseName(use)] = static_cast<double>(this->state.memory.held(use));
     }
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t bytesInMb = 1'000'000;
 /// Part of the process's memory, as a divisor, that requests and answers may hold. The rest is for the program, its connections and the catalog.
 constexpr std::size_t memoryCapacityDivisor = 2;
+/// Log lines on admission decisions.
+constexpr double overloadLinesPerSecond = 5;
+constexpr double overloadLineBurst = 20;
 } // namespace
 
 EntryState::EntryState(EntrySettings settings)
@@ -24,6 +27,7 @@
     , endpoints(reregistrationTime)
     , versions(this->settings.exposureShare, static_cast<double>(this->settings.exposureTolerance), this->settings.sessionLifetime)
     , chooser(this->settings.failureDomain)
+    , overloadLog(overloadLinesPerSecond, overloadLineBurst)
     , random(systemSeededRandomSource())
 {
 }
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/LogRateLimiter.h"
 #include "LibCore/MemoryBudget.h"
 #include "LibCore/Random.h"
 #include "LibEntry/EntrySettings.h"
@@ -17,6 +18,7 @@
 #include "LibGateway/StopRules.h"
 #include "LibGateway/StoreProbe.h"
 #include "LibGateway/VersionPolicy.h"
+#include "LibOverload/OverloadControl.h"
 #include "LibRouting/RetryBudget.h"
 
 #include <map>
@@ -63,6 +65,9 @@
     PromptQuarantine promptQuarantine;
     /// Retry budget of each service, by service name.
     std::map<std::string, RetryBudget> retryBudgets;
+    OverloadControl overload;
+    /// Limits the log lines on admission decisions, so that overload does not displace other lines.
+    LogRateLimiter overloadLog;
     StoreProbe storeProbe;
     /// Freshness of this instance's copy of each catalog kind.
     std::map<CatalogKind, CatalogFreshness> freshness;
--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -27,8 +27,6 @@
 /// An answer with this status has no body, whatever its headers say.
 constexpr int noContentStatus = 204;
 constexpr Duration defaultDeadline = std::chrono::seconds(30);
-constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
-constexpr Duration maxRetryDelay = std::chrono::milliseconds(1200);
 /// Delay after a refusal of an instance that stops. It is short, since another instance takes the request at once.
 constexpr Duration minStoppingDelay = std::chrono::milliseconds(50);
 constexpr Duration maxStoppingDelay = std::chrono::milliseconds(200);
@@ -148,7 +146,7 @@
         co_return;
     }
     while (!this->caller->gone) {
-        if (!this->startAttempt()) {
+        if (!co_await this->startAttemptInTurn()) {
             this->logUnavailable();
             co_await this->finish(this->progress.possibleRuns == 0 ? NextStep::RefuseNotRun : NextStep::Fail);
             co_return;
@@ -279,11 +277,15 @@
         this->modelSelection.chooseFirst(this->selectionInputs());
         next.query.model = this->modelSelection.model();
     }
-    auto choice = this->state.chooser.choose(this->candidates(this->hasFailedOnCandidate), next.query, monotonicNow(), this->state.random);
+    const std::vector<const EndpointEntry *> endpoints = this->candidates(this->hasFailedOnCandidate);
+    auto choice = this->state.chooser.choose(endpoints, next.query, monotonicNow(), this->state.random);
     if (!choice) {
         return false;
     }
     next.choice = std::move(*choice);
+    if (this->triedEndpoints.empty() && !this->admit(next, endpoints)) {
+        return false;
+    }
     next.ticket = this->state.chooser.begin(next.query, next.choice);
     next.started = monotonicNow();
     this->state.announcements.recordRequest(next.choice.endpoint.id, next.choice.endpoint.incarnation, next.started);
@@ -638,11 +640,4 @@
     return std::max(Duration::zero(), this->started + this->route->latencyObjective - monotonicNow());
 }
 
-// Jitter keeps refused callers from retrying at the same time.
-Duration RequestRun::retryDelay()
-{
-    std::uniform_int_distribution<std::int64_t> delay(minRetryDelay.count(), maxRetryDelay.count());
-    return Duration(delay(this->state.random));
-}
-
 } // namespace Godwitfork
--- a/Libraries/LibEntry/RequestRun.h
+++ b/Libraries/LibEntry/RequestRun.h
@@ -98,6 +98,12 @@
     boost::asio::awaitable<void> sendOwnAnswer(int status, std::string reason, Duration retryAfter);
     boost::asio::awaitable<void> finish(NextStep step);
     bool startAttempt();
+    /// Starts an attempt; one that is held back for more urgent requests is started when it is its turn. Returns false if no endpoint may get it.
+    boost::asio::awaitable<bool> startAttemptInTurn();
+    /// Decides whether the first attempt is sent, if necessary to another endpoint than the chosen one. Admits it without overload control.
+    bool admit(AttemptInProgress &next, const std::vector<const EndpointEntry *> &endpoints);
+    AdmissionRequest admissionRequest(const AttemptInProgress &next) const;
+    void logAdmission(const AdmissionRequest &request, const AdmissionDecision &decision) const;
     ChoiceQuery makeQuery() const;
     SelectionInputs selectionInputs() const;
     /// Decides whether to discard the answer and make the next attempt with a larger model.
@@ -184,6 +190,11 @@
     bool stalled = false;
     /// Whether the retry for the next attempt was taken from the budget before the current one ended.
     bool hasTakenRetry = false;
+    /// Whether the first attempt is held back at present, and the time for which it was.
+    bool isDeferred = false;
+    Duration deferredFor = Duration::zero();
+    /// Whether the request was recorded as demand.
+    bool isDemandRecorded = false;
     int status = 0;
     std::string reason;
 };
--- a/Libraries/LibEntry/RequestRunLog.cpp
+++ b/Libraries/LibEntry/RequestRunLog.cpp
@@ -155,6 +155,9 @@
     if (!this->reason.empty()) {
         fields["reason"] = this->reason;
     }
+    if (this->deferredFor > Duration::zero()) {
+        fields["deferred_ms"] = toMilliseconds(this->deferredFor);
+    }
     this->recordStop(fields, now);
     const bool isServed = this->status >= 200 && this->status < 300 && this->reason.empty();
     logEvent(isServed ? LogLevel::Info : LogLevel::Warning, "request.ended", fields);
--- a/Libraries/LibGateway/EndpointLoads.cpp
+++ b/Libraries/LibGateway/EndpointLoads.cpp
@@ -181,6 +181,15 @@
         }
     }
     this->peerStatistics = newStatistics;
+    // Outdated usage is replaced by none.
+    if (!usage.empty() || !newStatistics.empty()) {
+        this->peerUsageSetAt = now;
+    }
+}
+
+Duration EndpointLoads::summaryAge(MonotonicTime now) const
+{
+    return this->peerUsageSetAt ? now - *this->peerUsageSetAt : Duration::max();
 }
 
 EndpointUsageMap EndpointLoads::ownUsage(MonotonicTime now) const
--- a/Libraries/LibGateway/EndpointLoads.h
+++ b/Libraries/LibGateway/EndpointLoads.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -100,6 +101,8 @@
     Duration meanPromptWait(const std::string &service, MonotonicTime now) const;
     /// Replaces the other instances' usage by endpoint and statistics by service.
     void setPeerUsage(const EndpointUsageMap &usage, const ServiceStatisticsMap &statistics, MonotonicTime now);
+    /// Time since the other instances' usage was last set; maximal if it never was.
+    Duration summaryAge(MonotonicTime now) const;
     /// Returns this instance's usage by endpoint, without endpoints that have no running request, no recent output
     /// and no considerable failures.
     EndpointUsageMap ownUsage(MonotonicTime now) const;
@@ -122,6 +125,8 @@
     std::unordered_map<EndpointKey, EndpointLoad> loads;
     std::map<std::string, DecayingStatistics> statistics;
     ServiceStatisticsMap peerStatistics;
+    /// Time at which usage of other instances was last set; empty before the first time.
+    std::optional<MonotonicTime> peerUsageSetAt;
 };
 
 } // namespace Godwitfork
