--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -85,6 +85,8 @@
                                                             .Register(this->registry);
     /// Gauges of `capacities` on the last page; those of endpoints that have left are removed.
     std::vector<prometheus::Gauge *> capacityGauges;
+    prometheus::Family<prometheus::Gauge> &admissions =
+        prometheus::BuildGauge().Name("godwitfork_entry_admissions").Help("Admission decisions since the start, by route and outcome").Register(this->registry);
     prometheus::Family<prometheus::Gauge> &gauges =
         prometheus::BuildGauge().Name("godwitfork_entry_belief").Help("What the process believes, by name").Register(this->registry);
 };
@@ -203,6 +205,9 @@
         this->state->ignoredItems.Add({{"source", key.first}, {"cause", key.second}}).Set(static_cast<double>(count));
     }
     this->setCapacities(gauges.capacities);
+    for (const auto &[key, count] : gauges.admissions) {
+        this->state->admissions.Add({{"route", key.first}, {"outcome", key.second}}).Set(static_cast<double>(count));
+    }
     return prometheus::TextSerializer().Serialize(this->state->registry.Collect());
 }
 
--- a/Libraries/LibEntry/EntryService.cpp
+++ b/Libraries/LibEntry/EntryService.cpp
@@ -144,6 +144,7 @@
     gauges.coldEndpoints = countColdEndpoints(this->state, monotonicNow());
     gauges.evacuatedDomains = static_cast<double>(this->state.failureDomains.evacuated.size());
     gauges.ignoredItems = this->state.ignoredItems.counts();
+    gauges.admissions = this->state.overload.counts();
     for (const MemoryUse use : memoryUses) {
         gauges.memoryHeldBytes[memoryUseName(use)] = static_cast<double>(this->state.memory.held(use));
     }
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibColdStart/ColdStarts.h"
+#include "LibCore/LogRateLimiter.h"
 #include "LibCore/MemoryBudget.h"
 #include "LibCore/Random.h"
 #include "LibEntry/EntrySettings.h"
@@ -18,6 +19,7 @@
 #include "LibGateway/StopRules.h"
 #include "LibGateway/StoreProbe.h"
 #include "LibGateway/VersionPolicy.h"
+#include "LibOverload/OverloadControl.h"
 #include "LibPlacement/Placement.h"
 #include "LibRouting/RetryBudget.h"
 
@@ -71,6 +73,9 @@
     PromptQuarantine promptQuarantine;
     /// Retry budget of each service, by service name.
     std::map<std::string, RetryBudget> retryBudgets;
+    OverloadControl overload;
+    /// Limits the log lines on admission decisions, so that overload does not displace other lines.
+    LogRateLimiter overloadLog;
     StoreProbe storeProbe;
     /// Freshness of this instance's copy of each catalog kind.
     std::map<CatalogKind, CatalogFreshness> freshness;
