--- a/Libraries/LibHttp/HttpConnectionReceive.cpp
+++ b/Libraries/LibHttp/HttpConnectionReceive.cpp
@@ -116,7 +116,8 @@
 
 HttpConnection::Received HttpConnection::completeRequest()
 {
-    if (!this->reserve(requestBytes)) {
+    // The attempts at endpoints take a copy of the head.
+    if (!this->reserve(requestBytes + this->receiver->headMemory())) {
         return this->refuseForMemory();
     }
     this->keepAlive = this->receiver->keepsAlive();
