Don't count a cancelled silent attempt as a lost connection

The instance closes the connection itself, so the attempt says nothing of the endpoint's process. An overloaded endpoint became suspect by it.

--- a/Libraries/LibEntry/RequestRun.cpp
+++ b/Libraries/LibEntry/RequestRun.cpp
@@ -349,6 +349,8 @@
     if (this->stalled) {
         this->reason = "endpoint_stalled";
         outcome.end = outcome.end == AttemptEnd::NotSent ? AttemptEnd::NotSent : AttemptEnd::TimedOut;
+        // This instance closed the connection itself.
+        outcome.isConnectionLost = false;
     }
     if (this->caller->interrupted && outcome.end != AttemptEnd::Answered) {
         this->reason = "instance_stopping";
--- a/Tests/LibEntry/TestColdEndpoints.cpp
+++ b/Tests/LibEntry/TestColdEndpoints.cpp
@@ -2,6 +2,9 @@
 #include "LibEntry/CatalogChanges.h"
 #include "LibEntry/ColdEndpoints.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 using namespace Godwitfork;
@@ -182,3 +185,34 @@
     CHECK(entry.send(callerHeaders("id")).status == 503);
     CHECK(count == 0);
 }
+
+TEST_CASE("An endpoint whose silent attempt was cancelled is not suspect", "[cold]")
+{
+    // Guards against requests kept from an overloaded endpoint: closing the connection of a cancelled attempt was taken for its loss.
+    EntryFixture entry;
+    setColdService(entry, 5.2, 2);
+    int count = 0;
+    std::string silent;
+    const auto scriptOf = [&](const std::string &id) {
+        return [&, id](HttpExchange &exchange) -> awaitable<void> {
+            if (count == 0) {
+                silent = id;
+                ++count;
+                boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, 5s);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+            }
+            co_await answerOf(200, &count)(exchange);
+        };
+    };
+    entry.addEndpoint("e1", scriptOf("e1"));
+    entry.addEndpoint("e2", scriptOf("e2"));
+    const MonotonicTime now = monotonicNow();
+    renew(entry.state, "e1", 0s, 1, now);
+    renew(entry.state, "e2", 0s, 1, now);
+    updateColdEndpoints(entry.state, {}, now);
+    CHECK(entry.send(callerHeaders("id")).status == 200);
+    CHECK(count == 2);
+    REQUIRE_FALSE(silent.empty());
+    const ColdRule rule = coldRule(entry.state.settings, entry.state.routes->findService("pool"));
+    CHECK(entry.state.coldStarts.phase(silent, rule, monotonicNow()) == ColdPhase::Warm);
+}
