--- a/Libraries/LibColdStart/FleetMemory.cpp
+++ b/Libraries/LibColdStart/FleetMemory.cpp
@@ -31,12 +31,16 @@
         this->changes += isNew ? 1 : 0;
     }
     this->changes += std::erase_if(this->lastLive, [now](const auto &member) { return now - member.second > memoryTime; });
-    if (!this->reachedAt && this->hasReachedSeeds(contacts)) {
+    const bool wasSettled = this->isSettled;
+    // Instances that have forgotten each other in a long partition would all have low ranks, and each take a share.
+    if (!this->hasReachedSeeds(contacts)) {
+        this->reachedAt.reset();
+        this->isSettled = false;
+    } else if (!this->reachedAt) {
         this->reachedAt = now;
     }
     const bool isAlone = this->lastLive.empty();
-    const bool wasSettled = this->isSettled;
-    this->isSettled = this->reachedAt && (isAlone || wasSettled || now - *this->reachedAt >= settlingTime);
+    this->isSettled = this->reachedAt && (isAlone || this->isSettled || now - *this->reachedAt >= settlingTime);
     this->changes += wasSettled != this->isSettled ? 1 : 0;
 }
 
--- a/Libraries/LibColdStart/FleetMemory.h
+++ b/Libraries/LibColdStart/FleetMemory.h
@@ -30,7 +30,8 @@
     void update(const FleetContacts &contacts, MonotonicTime now);
 
     /// Position of this instance among the remembered ones for an endpoint, starting at 0. Empty while this instance may not know the fleet:
-    /// before it has been in contact with half of the instances that its settings name, and for a settling time afterwards.
+    /// before it has been in contact with half of the instances that its settings name, and for a settling time afterwards; again once it has
+    /// not been in contact with half of them for so long that they are forgotten.
     std::optional<int> rankFor(std::string_view endpoint) const;
     /// Number of remembered instances, this one included.
     int size() const;
@@ -42,7 +43,7 @@
 
     std::string own;
     std::map<std::string, MonotonicTime> lastLive;
-    /// Time at which enough of the fleet was reached first; empty before.
+    /// Time since which enough of the fleet is known; empty if it is not.
     std::optional<MonotonicTime> reachedAt;
     bool isSettled = false;
     std::uint64_t changes = 0;
--- a/Tests/LibColdStart/TestFleetMemory.cpp
+++ b/Tests/LibColdStart/TestFleetMemory.cpp
@@ -85,3 +85,21 @@
     CHECK(memory.rankFor(endpoint));
     CHECK(memory.version() > version);
 }
+
+TEST_CASE("An instance that has forgotten its silent seeds has no rank until it has reached them again", "[fleet]")
+{
+    // Guards against FAILBACK: after five minutes alone, each isolated instance had the first rank and the whole share.
+    const std::string own = addresses(0, 1).front();
+    FleetMemory memory;
+    memory.update({own, addresses(0, 10), addresses(0, 4)}, start);
+    memory.update({own, addresses(0, 10), addresses(0, 4)}, start + 4s);
+    CHECK(memory.rankFor(endpoint));
+    memory.update({own, {own}, addresses(0, 4)}, start + 4min);
+    CHECK(memory.rankFor(endpoint));
+    memory.update({own, {own}, addresses(0, 4)}, start + 10min);
+    CHECK_FALSE(memory.rankFor(endpoint));
+    memory.update({own, addresses(0, 10), addresses(0, 4)}, start + 11min);
+    CHECK_FALSE(memory.rankFor(endpoint));
+    memory.update({own, addresses(0, 10), addresses(0, 4)}, start + 11min + 4s);
+    CHECK(memory.rankFor(endpoint));
+}
