--- a/Libraries/LibEntry/RequestRunCold.cpp
+++ b/Libraries/LibEntry/RequestRunCold.cpp
@@ -22,7 +22,8 @@
     Duration earliest = Duration::max();
     for (const EndpointEntry *endpoint : this->state.endpoints.ready(this->service)) {
         const Duration announced = this->state.announcements.timeToRequest(endpoint->id, endpoint->incarnation, now);
-        const Duration cold = isBounded(rule) ? this->state.coldStarts.timeToRequest(endpoint->id, rule, now) : Duration::zero();
+        // An instance without a share waits longer than a window, but a caller that comes back may reach one that has a share.
+        const Duration cold = isBounded(rule) ? std::min(coldWindow, this->state.coldStarts.timeToRequest(endpoint->id, rule, now)) : Duration::zero();
         const Duration time = std::max(announced, cold);
         const bool isAllowed = this->placementObstacle(*endpoint) == PlacementObstacle::None;
         earliest = isAllowed && time > Duration::zero() ? std::min(earliest, time) : earliest;
--- a/Tests/LibEntry/TestColdEndpoints.cpp
+++ b/Tests/LibEntry/TestColdEndpoints.cpp
@@ -216,3 +216,22 @@
     const ColdRule rule = coldRule(entry.state.settings, entry.state.routes->findService("pool"));
     CHECK(entry.state.coldStarts.phase(silent, rule, monotonicNow()) == ColdPhase::Warm);
 }
+
+TEST_CASE("An instance without a share refuses with a time after which the caller may reach one that has", "[cold]")
+{
+    // Guards against a Retry-After of the whole cold time while other instances have room in each window.
+    EntryFixture entry;
+    setColdService(entry, 5.2);
+    entry.state.settings.seeds = {{"127.0.0.1", 1}, {"127.0.0.1", 2}};
+    int count = 0;
+    entry.addEndpoint("e1", answerOf(200, &count));
+    const MonotonicTime now = monotonicNow();
+    renew(entry.state, "e1", 60s, 1, now);
+    updateColdEndpoints(entry.state, {}, now);
+    const HttpResponse refused = entry.send(callerHeaders("id"));
+    CHECK(refused.status == 503);
+    const double retryAfter = std::stod(headerValue(refused.headers, "Retry-After"));
+    // A window, and the spread of up to 1.2 s.
+    CHECK(retryAfter >= 1.25);
+    CHECK(retryAfter <= 2.45);
+}
