Ignore a registration that is older than the known one

A late older entry ended the cold time of an endpoint or its suspicion. One with a smaller incarnation that says cold still counts, since an endpoint's clock may have been set back.

--- a/Libraries/LibColdStart/ColdStarts.cpp
+++ b/Libraries/LibColdStart/ColdStarts.cpp
@@ -84,6 +84,12 @@
         return;
     }
     const bool isRestarted = !isNew && state.entry.incarnation != entry.incarnation;
+    // An endpoint whose clock was set back restarts with a smaller incarnation, so one that says cold is not ignored.
+    const bool isOlderStart = entry.incarnation < state.entry.incarnation && entry.coldRemaining == Duration::zero();
+    const bool isOlderRenewal = !isRestarted && entry.sequence < state.entry.sequence;
+    if (!isNew && (isOlderStart || isOlderRenewal)) {
+        return;
+    }
     state.entry = entry;
     if (isRestarted) {
         state.failedAt.reset();
--- a/Libraries/LibColdStart/ColdStarts.h
+++ b/Libraries/LibColdStart/ColdStarts.h
@@ -67,7 +67,7 @@
 class ColdStarts
 {
 public:
-    /// Records a registration that the store has, new or not.
+    /// Records a registration that the store has, new or not. One that is older than the known registration is ignored.
     void recordEntry(const std::string &endpoint, const ColdEntry &entry, MonotonicTime now);
     void forget(const std::string &endpoint);
     /// Records that this instance could not connect to an endpoint or lost its connection.
--- a/Tests/LibColdStart/TestColdStarts.cpp
+++ b/Tests/LibColdStart/TestColdStarts.cpp
@@ -57,6 +57,22 @@
     CHECK(sendAll(starts, start + 4s + slowStartTime) == 100);
 }
 
+TEST_CASE("A registration that is older than the known one does not end the cold time", "[cold]")
+{
+    // Guards against FAILBACK: an older warm entry that arrived late made a cold endpoint count as warm.
+    ColdStarts starts = single();
+    starts.recordEntry(endpoint, {2, 5, 3s}, start);
+    starts.recordEntry(endpoint, {2, 4, 0s}, start + 1s);
+    CHECK(starts.phase(endpoint, rule, start + 1s) == ColdPhase::Cold);
+    starts.recordEntry(endpoint, {1, 9, 0s}, start + 1s);
+    CHECK(starts.phase(endpoint, rule, start + 1s) == ColdPhase::Cold);
+    starts.recordEntry(endpoint, {2, 4, 3s}, start + 2s);
+    CHECK(starts.phase(endpoint, rule, start + 3s) == ColdPhase::SlowStart);
+    // An endpoint whose clock was set back may restart with a smaller incarnation, and is cold then.
+    starts.recordEntry(endpoint, {1, 1, 3s}, start + 10s);
+    CHECK(starts.phase(endpoint, rule, start + 10s) == ColdPhase::Cold);
+}
+
 TEST_CASE("An endpoint that turns cold while requests are on their way gets none for a window", "[cold]")
 {
     // Guards against FAILBACK: instances that have not received the entry yet send on, beside the shares.
