--- a/Libraries/LibColdStart/ColdStarts.cpp
+++ b/Libraries/LibColdStart/ColdStarts.cpp
@@ -23,8 +23,8 @@
 constexpr double riseFactor = 1.3;
 /// Interval of updates of the fleet. Shorter than the reports that change it, and long against the time that an update of 330 members takes.
 constexpr Duration fleetUpdateInterval = std::chrono::milliseconds(500);
-/// An endpoint at which as many requests failed lately, and at most a quarter as many are left, has lost them all at once: what is left is from
-/// instances that have not noticed. One that answers with errors has output to other requests, so fewer failures need silence.
+/// An endpoint at which as many requests failed lately, and at most a quarter as many are left, has lost them all at once. Requests still
+/// reported are from instances that have not detected the loss. One that answers with errors has output to other requests, so fewer failures need silence.
 constexpr double failuresOfLost = 2;
 constexpr double maxRunningShare = 0.25;
 constexpr Duration silenceOfLost = std::chrono::seconds(1);
--- a/Libraries/LibColdStart/FleetMemory.h
+++ b/Libraries/LibColdStart/FleetMemory.h
@@ -22,7 +22,7 @@
     std::vector<std::string> seeds;
 };
 
-/// Instances of the fleet as far as this one has heard of them, kept long after they fell silent. An instance that counts a silent member as
+/// Known members, retained for 5 minutes after their last report. An instance that counts a silent member as
 /// present has a higher rank than it needs, never a lower one, so that both sides of a partition together take each share at most once.
 class FleetMemory
 {
--- a/Tests/LibColdStart/ColdFleet.cpp
+++ b/Tests/LibColdStart/ColdFleet.cpp
@@ -373,7 +373,7 @@
     /// instance knows nothing of the others' load.
     double preference(const Instance &instance, MonotonicTime now) const
     {
-        if (this->plan.isWanted && instance.starts.phase(endpoint, this->plan.rule, now) != ColdPhase::Warm) {
+        if (this->plan.getsAllRequests && instance.starts.phase(endpoint, this->plan.rule, now) != ColdPhase::Warm) {
             return 1;
         }
         if (now - instance.summaryAt > maxSummaryAge) {
--- a/Tests/LibColdStart/ColdFleet.h
+++ b/Tests/LibColdStart/ColdFleet.h
@@ -49,7 +49,7 @@
     Duration turnAt = std::chrono::milliseconds(4700);
     Duration downTime = std::chrono::seconds(1);
     /// Whether the endpoint gets all requests of an instance that knows that it is cold, as if all endpoints of the service were.
-    bool isWanted = false;
+    bool getsAllRequests = false;
     std::vector<FleetFault> faults;
     ColdDiscipline discipline = ColdDiscipline::Shares;
     std::uint64_t seed = 1;
--- a/Tests/LibColdStart/TestColdFleet.cpp
+++ b/Tests/LibColdStart/TestColdFleet.cpp
@@ -27,8 +27,8 @@
     return designShare * (rule.requestsPerSecond * rule.overage + rule.tolerance);
 }
 
-const ColdRule ruleOfT {5.2, 3s, 1.5, 5};
-const ColdRule ruleOfE {6.3, 3s, 1.5, 5};
+const ColdRule lowRateRule {5.2, 3s, 1.5, 5};
+const ColdRule highRateRule {6.3, 3s, 1.5, 5};
 
 rc::Gen<Duration> arbitraryTime(int leastMs, int endMs)
 {
@@ -72,17 +72,17 @@
         FleetPlan plan;
         plan.instances = *rc::gen::inRange(3, 331);
         plan.domains = *rc::gen::inRange(1, 5);
-        plan.rule = *rc::gen::element(ruleOfT, ruleOfE);
+        plan.rule = *rc::gen::element(lowRateRule, highRateRule);
         plan.turn = *rc::gen::element(ColdTurn::Crash, ColdTurn::ColdAgain, ColdTurn::Appears);
         plan.turnAt = *arbitraryTime(500, 9000);
         plan.downTime = *arbitraryTime(100, 4000);
-        plan.isWanted = *rc::gen::arbitrary<bool>();
+        plan.getsAllRequests = *rc::gen::arbitrary<bool>();
         plan.faults = *rc::gen::container<std::vector<FleetFault>>(arbitraryFault());
         plan.seed = *rc::gen::arbitrary<std::uint64_t>();
         const FleetResult result = playColdFleet(plan);
         Extremes &extreme = extremes[plan.turn];
         extreme.most = std::max(extreme.most, result.mostInSecond);
-        extreme.bound = designBound(ruleOfT);
+        extreme.bound = designBound(lowRateRule);
         if (result.mostInSecond > designBound(plan.rule)) {
             RC_LOG() << "turn " << static_cast<int>(plan.turn) << ", rate " << plan.rule.requestsPerSecond << "\n";
         }
@@ -103,7 +103,7 @@
         double demand;
         ColdRule rule;
     };
-    for (const Deployment &deployment : {Deployment {62, 175, ruleOfT}, Deployment {80, 175, ruleOfE}}) {
+    for (const Deployment &deployment : {Deployment {62, 175, lowRateRule}, Deployment {80, 175, highRateRule}}) {
         for (const ColdTurn turn : {ColdTurn::Crash, ColdTurn::ColdAgain, ColdTurn::Appears}) {
             FleetPlan plan;
             plan.instances = deployment.instances;
@@ -145,7 +145,7 @@
     FleetPlan plan;
     plan.turnAt = 14s;
     plan.turn = ColdTurn::Appears;
-    plan.isWanted = true;
+    plan.getsAllRequests = true;
     plan.faults = {{5s, 15s, FleetFaultKind::DomainCut, 0}, {5s, 15s, FleetFaultKind::DomainCut, 1}};
     plan.discipline = ColdDiscipline::LiveRanks;
     CHECK(playSeeds(plan, 5).mostInSecond > designBound(plan.rule));
--- a/Tests/LibColdStart/TestColdStarts.cpp
+++ b/Tests/LibColdStart/TestColdStarts.cpp
@@ -174,7 +174,7 @@
     CHECK(sendAll(starts, start) == 5);
 }
 
-TEST_CASE("A change of phase is told once", "[cold]")
+TEST_CASE("A change of phase is reported once", "[cold]")
 {
     ColdStarts starts = single();
     starts.recordEntry(endpoint, {1, 1, 3s}, start);
