--- a/Libraries/LibColdStart/FleetMemory.h
+++ b/Libraries/LibColdStart/FleetMemory.h
@@ -22,7 +22,7 @@
     std::vector<std::string> seeds;
 };
 
-/// Instances of the fleet as far as this one has heard of them, kept long after they fell silent. An instance that counts a silent member as
+/// Known members, retained for 5 minutes after their last report. An instance that counts a silent member as
 /// present has a higher rank than it needs, never a lower one, so that both sides of a partition together take each share at most once.
 class FleetMemory
 {
@@ -30,7 +30,8 @@
     void update(const FleetContacts &contacts, MonotonicTime now);
 
     /// Position of this instance among the remembered ones for an endpoint, starting at 0. Empty while this instance may not know the fleet:
-    /// before it has been in contact with half of the instances that its settings name, and for a settling time afterwards.
+    /// before it has been in contact with half of the instances that its settings name, and for a settling time afterwards; again once it has
+    /// not been in contact with half of them for so long that they are forgotten.
     std::optional<int> rankFor(std::string_view endpoint) const;
     /// Number of remembered instances, this one included.
     int size() const;
@@ -42,7 +43,7 @@
 
     std::string own;
     std::map<std::string, MonotonicTime> lastLive;
-    /// Time at which enough of the fleet was reached first; empty before.
+    /// Time since which enough of the fleet is known; empty if it is not.
     std::optional<MonotonicTime> reachedAt;
     bool isSettled = false;
     std::uint64_t changes = 0;
--- a/Tests/LibEntry/TestColdEndpoints.cpp
+++ b/Tests/LibEntry/TestColdEndpoints.cpp
@@ -2,6 +2,9 @@
 #include "LibEntry/CatalogChanges.h"
 #include "LibEntry/ColdEndpoints.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 using namespace Godwitfork;
@@ -182,3 +185,53 @@
     CHECK(entry.send(callerHeaders("id")).status == 503);
     CHECK(count == 0);
 }
+
+TEST_CASE("An endpoint whose silent attempt was cancelled is not suspect", "[cold]")
+{
+    // Guards against requests kept from an overloaded endpoint: closing the connection of a cancelled attempt was taken for its loss.
+    EntryFixture entry;
+    setColdService(entry, 5.2, 2);
+    int count = 0;
+    std::string silent;
+    const auto scriptOf = [&](const std::string &id) {
+        return [&, id](HttpExchange &exchange) -> awaitable<void> {
+            if (count == 0) {
+                silent = id;
+                ++count;
+                boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, 5s);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+            }
+            co_await answerOf(200, &count)(exchange);
+        };
+    };
+    entry.addEndpoint("e1", scriptOf("e1"));
+    entry.addEndpoint("e2", scriptOf("e2"));
+    const MonotonicTime now = monotonicNow();
+    renew(entry.state, "e1", 0s, 1, now);
+    renew(entry.state, "e2", 0s, 1, now);
+    updateColdEndpoints(entry.state, {}, now);
+    CHECK(entry.send(callerHeaders("id")).status == 200);
+    CHECK(count == 2);
+    REQUIRE_FALSE(silent.empty());
+    const ColdRule rule = coldRule(entry.state.settings, entry.state.routes->findService("pool"));
+    CHECK(entry.state.coldStarts.phase(silent, rule, monotonicNow()) == ColdPhase::Warm);
+}
+
+TEST_CASE("An instance without a share refuses with a time after which the caller may reach one that has", "[cold]")
+{
+    // Guards against a Retry-After of the whole cold time while other instances have room in each window.
+    EntryFixture entry;
+    setColdService(entry, 5.2);
+    entry.state.settings.seeds = {{"127.0.0.1", 1}, {"127.0.0.1", 2}};
+    int count = 0;
+    entry.addEndpoint("e1", answerOf(200, &count));
+    const MonotonicTime now = monotonicNow();
+    renew(entry.state, "e1", 60s, 1, now);
+    updateColdEndpoints(entry.state, {}, now);
+    const HttpResponse refused = entry.send(callerHeaders("id"));
+    CHECK(refused.status == 503);
+    const double retryAfter = std::stod(headerValue(refused.headers, "Retry-After"));
+    // A window, and the spread of up to 1.2 s.
+    CHECK(retryAfter >= 1.25);
+    CHECK(retryAfter <= 2.45);
+}
