--- a/Tests/Platform/TestRequestHeaders.cpp
+++ b/Tests/Platform/TestRequestHeaders.cpp
@@ -142,3 +142,15 @@
         CHECK_FALSE(announcement.problem.empty());
     }
 }
+
+// Guards against a priority that engines refuse as malformed: the operators' ranks have no upper bound, engines know 0 to 9.
+TEST_CASE("The priority sent to engines is limited to their range", "[platform]")
+{
+    AttemptHeaders attempt;
+    attempt.endpoint = "e1";
+    CHECK(headerValue(Platform::makeEndpointRequest(callerRequest(), attempt).headers, "X-Request-Priority").empty());
+    attempt.enginePriority = 3;
+    CHECK(headerValue(Platform::makeEndpointRequest(callerRequest(), attempt).headers, "X-Request-Priority") == "3");
+    attempt.enginePriority = 12;
+    CHECK(headerValue(Platform::makeEndpointRequest(callerRequest(), attempt).headers, "X-Request-Priority") == "9");
+}
