--- a/review/rig-2/Rig.cpp
+++ b/review/rig-2/Rig.cpp
@@ -307,6 +307,11 @@
     return (waiting.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+void Connection::shutDown() const
+{
+    ::shutdown(this->descriptor, SHUT_RDWR);
+}
+
 void Connection::reset()
 {
     const linger now {1, 0};
--- a/review/rig-2/Rig.h
+++ b/review/rig-2/Rig.h
@@ -67,6 +67,8 @@
     bool readRequest(Message &message, double seconds);
     /// Whether the peer has closed or reset the connection. Unread bytes do not count.
     bool isClosed() const;
+    /// Ends the connection from another thread; the thread that serves it closes it.
+    void shutDown() const;
     /// Closes with a reset instead of a regular end.
     void reset();
     void close();
