Refuse answers with a status outside 100 to 599

Callers saw: an endpoint in trouble answered with the status 000, and its caller got an answer: if the body began like a head of its own, that body as the endpoint's signed 200. Answers with the status 600, 700 or 999 were passed on whole.

Cause: the parser accepts any three digits, and the client took every status below 200 for that of an interim response. It read on after the head, so the body of such an answer was parsed as the next head. RFC 9110, section 15: a status outside 100 to 599 is invalid.

Change: ResponseHead holds what makes a head invalid that the parser accepts. The client asks it for each head, so it applies to the answers of endpoints, of the store, of peers and of the operators' API. Statuses without a registered meaning are passed on as before.

Test: a stand-in sends 36 such answers through the entry to a caller, under each rule for repeats.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "LibHttp/HttpClient.h"
 
+#include "LibHttp/ResponseHead.h"
+
 #include <boost/asio/detail/socket_option.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -43,7 +45,6 @@
 constexpr std::size_t maxSkippedBytes = std::size_t {256} * 1024;
 /// Interim responses to one request; servers send one or two.
 constexpr int maxInterimResponses = 8;
-constexpr int finalStatusMinimum = 200;
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
@@ -198,10 +199,13 @@
         boost::system::error_code error;
         for (int interim = 0;; ++interim) {
             co_await Http::async_read_header(*this->stream, this->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
+            if (!error) {
+                error = checkResponseHead(this->parser->get());
+            }
             if (error) {
                 co_return error;
             }
-            if (this->status() >= finalStatusMinimum) {
+            if (!isInterimStatus(this->parser->get().result_int())) {
                 break;
             }
             if (interim == maxInterimResponses) {
--- a/Tests/LibEntry/EntryFixture.cpp
+++ b/Tests/LibEntry/EntryFixture.cpp
@@ -222,18 +222,18 @@
     return answers;
 }
 
-std::string EntryFixture::rawRequest(const HttpHeaders &headers)
+std::string EntryFixture::rawRequest(const HttpHeaders &headers, const std::string &body)
 {
-    std::string request = "POST /a/b HTTP/1.1\r\nConnection: close\r\nContent-Length: 4\r\n";
+    std::string request = "POST /a/b HTTP/1.1\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
     for (const HttpHeader &header : headers) {
         request += header.name + ": " + header.value + "\r\n";
     }
-    return request + "\r\nbody";
+    return request + "\r\n" + body;
 }
 
-std::string EntryFixture::sendRaw(const HttpHeaders &headers, Duration delay)
+std::string EntryFixture::sendRaw(const HttpHeaders &headers, Duration delay, const std::string &body)
 {
-    const std::string request = rawRequest(headers);
+    const std::string request = rawRequest(headers, body);
     std::string received;
     bool isDone = false;
     const HttpAddress address = this->router.address();
--- a/Tests/LibEntry/EntryFixture.h
+++ b/Tests/LibEntry/EntryFixture.h
@@ -51,7 +51,7 @@
     /// Sends requests at the same time, on a connection each, and waits for all answers.
     std::vector<HttpResponse> sendTogether(std::vector<HttpHeaders> requests);
     /// Sends a request on a connection that the router closes after the answer, starts to read `delay` later, and returns all bytes received.
-    std::string sendRaw(const HttpHeaders &headers, Duration delay);
+    std::string sendRaw(const HttpHeaders &headers, Duration delay, const std::string &body = "body");
     /// Sends a request, closes its connection `delay` later, and runs the router for another half second.
     void sendAndLeave(const HttpHeaders &headers, Duration delay);
     /// Runs `action` once, `delay` from now, while requests are sent.
@@ -60,7 +60,7 @@
     EntryState state;
 
 private:
-    static std::string rawRequest(const HttpHeaders &headers);
+    static std::string rawRequest(const HttpHeaders &headers, const std::string &body = "body");
     void putEntry(const std::string &id, HttpAddress address);
     boost::asio::awaitable<void> serveRaw(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor, RawScript script);
     boost::asio::awaitable<void> serveScripted(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor, std::vector<std::string> answers, int *requests);
--- /dev/null
+++ b/Tests/LibEntry/TestInvalidAnswers.cpp
@@ -0,0 +1,134 @@
+#include "EntryFixture.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Godwitfork;
+using namespace std::chrono_literals;
+namespace Asio = boost::asio;
+using Tcp = Asio::ip::tcp;
+
+namespace
+{
+enum class Pace { AtOnce, OneByte };
+
+const std::string signedLines = "X-Attempt-Id: id1\r\nX-Response-Signature: signed\r\n";
+const std::string soundBody = "id: 1\ndata: sound\n\n";
+const std::string soundAnswer = "HTTP/1.1 200 OK\r\n" + signedLines + "Content-Length: " + std::to_string(soundBody.size()) + "\r\n\r\n" + soundBody;
+/// Text that only invalid answers hold.
+const std::string mark = "invalid";
+const std::string markedBody = "id: 1\ndata: " + mark + "\n\n";
+const std::string markedLength = "Content-Length: " + std::to_string(markedBody.size()) + "\r\n";
+
+const std::vector<RepeatRule> &repeatRules()
+{
+    static const std::vector<RepeatRule> rules = {RepeatRule::Idempotent, RepeatRule::NonIdempotent, RepeatRule::Stream, RepeatRule::ResumableStream};
+    return rules;
+}
+
+/// Writes an answer to the first request on a connection.
+Asio::awaitable<void> writeAnswer(Tcp::socket &socket, std::string bytes, Pace pace)
+{
+    std::string request;
+    co_await Asio::async_read_until(socket, Asio::dynamic_buffer(request), "body", Asio::use_awaitable);
+    const std::size_t step = pace == Pace::OneByte ? 1 : bytes.size();
+    socket.set_option(Tcp::no_delay(true));
+    Asio::steady_timer timer(socket.get_executor());
+    for (std::size_t at = 0; at < bytes.size(); at += step) {
+        co_await Asio::async_write(socket, Asio::buffer(bytes.data() + at, step), Asio::use_awaitable);
+        // The router reads each piece before the next one is written.
+        timer.expires_after(pace == Pace::OneByte ? 100us : 0us);
+        co_await timer.async_wait(Asio::use_awaitable);
+    }
+}
+
+/// What a caller received, and how often its request was sent to an endpoint.
+struct Delivery {
+    std::string received;
+    int runs = 0;
+};
+
+/// Sends a request to a router whose first attempt gets the answer `bytes`; a further one gets a sound answer.
+Delivery deliver(const std::string &bytes, RepeatRule rule, Pace pace)
+{
+    EntryFixture entry;
+    entry.setRoute(makeRoute(rule, 3));
+    Delivery delivery;
+    const auto script = [&](Tcp::socket &socket) -> Asio::awaitable<void> {
+        ++delivery.runs;
+        co_await writeAnswer(socket, delivery.runs == 1 ? bytes : soundAnswer, pace);
+    };
+    entry.addRawEndpoint("e1", script);
+    entry.addRawEndpoint("e2", script);
+    delivery.received = entry.sendRaw(callerHeaders("id1"), 0ms);
+    return delivery;
+}
+
+std::string bodyOf(const std::string &received)
+{
+    const std::size_t headEnd = received.find("\r\n\r\n");
+    return headEnd == std::string::npos ? std::string() : received.substr(headEnd + 4);
+}
+
+/// Checks that an invalid answer counts as a failed attempt whose request may have run, and that its caller gets nothing of it.
+void checkRefused(const std::string &bytes, const std::string &reason, Pace pace = Pace::AtOnce)
+{
+    for (const RepeatRule rule : repeatRules()) {
+        CAPTURE(bytes, static_cast<int>(rule), static_cast<int>(pace));
+        const Delivery delivery = deliver(bytes, rule, pace);
+        CHECK(delivery.received.find(mark) == std::string::npos);
+        if (mayRepeat(rule)) {
+            CHECK(delivery.runs == 2);
+            CHECK(delivery.received.starts_with("HTTP/1.1 200 OK\r\n"));
+            CHECK(delivery.received.find(soundBody) != std::string::npos);
+        } else {
+            CHECK(delivery.runs == 1);
+            CHECK(delivery.received.starts_with("HTTP/1.1 502 "));
+            CHECK(delivery.received.find("X-Response-Signature") == std::string::npos);
+            CHECK(bodyOf(delivery.received) == R"({"error":{"code":")" + reason + R"("}})");
+        }
+    }
+}
+
+/// Checks that an answer is delivered with `status` and `body` by its first attempt.
+void checkDelivered(const std::string &bytes, int status, const std::string &body)
+{
+    for (const RepeatRule rule : repeatRules()) {
+        if (mayRepeat(rule) && status >= 300) {
+            // Another endpoint is tried after a sound failure too.
+            continue;
+        }
+        CAPTURE(bytes, static_cast<int>(rule));
+        const Delivery delivery = deliver(bytes, rule, Pace::AtOnce);
+        CHECK(delivery.runs == 1);
+        CHECK(delivery.received.starts_with("HTTP/1.1 " + std::to_string(status) + " "));
+        CHECK(delivery.received.find("X-Response-Signature: signed\r\n") != std::string::npos);
+        CHECK(delivery.received.find(body) != std::string::npos);
+    }
+}
+} // namespace
+
+TEST_CASE("An answer with a status outside 100 to 599 is refused", "[invalid]")
+{
+    // Guards against callers that get such a status, or the body of such an answer as an answer of its own.
+    const std::string status = GENERATE(as<std::string>(), "000", "001", "099", "600", "700", "999");
+    const std::string statusLine = "HTTP/1.1 " + status + " None\r\n" + signedLines;
+    const std::string answerInBody = "HTTP/1.1 200 OK\r\n" + signedLines + markedLength + "\r\n" + markedBody;
+    const std::string reason = "bad status";
+    checkRefused(statusLine + "Content-Length: 0\r\n\r\n", reason);
+    checkRefused(statusLine + markedLength + "\r\n" + markedBody, reason);
+    checkRefused(statusLine + "\r\n" + markedBody, reason);
+    checkRefused(statusLine + "\r\n" + answerInBody, reason);
+    checkRefused(statusLine + "Content-Length: " + std::to_string(answerInBody.size()) + "\r\n\r\n" + answerInBody, reason);
+    checkRefused("HTTP/1.1 100 Continue\r\n\r\n" + statusLine + "\r\n" + answerInBody, reason);
+}
+
+TEST_CASE("An answer with a status from 200 to 599 is delivered, whether it is registered or not", "[invalid]")
+{
+    // Guards against a check that is stricter than the protocol: a recipient accepts statuses of these classes that it does not know.
+    const int status = GENERATE(200, 299, 399, 404, 499, 500, 599);
+    checkDelivered("HTTP/1.1 " + std::to_string(status) + " \r\n" + signedLines + markedLength + "\r\n" + markedBody, status, mark);
+}
