Refuse interim responses that announce a body, and switches of protocols

Callers could see: the body of a 100 or 103 that announced one, or what followed a 101, as the endpoint's signed 200, if it began like a head.

The client skipped the head of each response below 200 and parsed what followed as the next one, although a body was announced (RFC 9110, section 8.6, and RFC 9112, section 6.1, allow none there) or another protocol begins (101, which this client never asks for).

Change: ResponseHead refuses both. Interim responses without a body are skipped as before, also with a length of 0.

Test: a stand-in sends these heads, each with an answer behind it, through the entry to a caller.

--- a/Libraries/LibHttp/ResponseHead.cpp
+++ b/Libraries/LibHttp/ResponseHead.cpp
@@ -12,6 +12,25 @@
 constexpr unsigned minStatus = 100;
 constexpr unsigned minFinalStatus = 200;
 constexpr unsigned maxStatus = 599;
+constexpr unsigned switchingProtocolsStatus = 101;
+
+// RFC 9110, section 8.6, and RFC 9112, section 6.1: an interim response has no body and announces none. The bytes after one that does may be its body,
+// which must not be taken for the next response.
+boost::system::error_code checkInterimHead(const Http::response_header<> &head)
+{
+    // The client never offers another protocol, so the bytes after this head are not HTTP.
+    if (head.result_int() == switchingProtocolsStatus) {
+        return Http::make_error_code(Http::error::bad_status);
+    }
+    if (head.count(Http::field::transfer_encoding) > 0) {
+        return Http::make_error_code(Http::error::bad_transfer_encoding);
+    }
+    const auto length = head.find(Http::field::content_length);
+    if (length != head.end() && length->value() != "0") {
+        return Http::make_error_code(Http::error::bad_content_length);
+    }
+    return {};
+}
 } // namespace
 
 bool isInterimStatus(unsigned status)
@@ -25,7 +44,7 @@
     if (head.result_int() < minStatus || head.result_int() > maxStatus) {
         return Http::make_error_code(Http::error::bad_status);
     }
-    return {};
+    return isInterimStatus(head.result_int()) ? checkInterimHead(head) : boost::system::error_code();
 }
 
 } // namespace Godwitfork
--- a/Tests/LibEntry/TestInvalidAnswers.cpp
+++ b/Tests/LibEntry/TestInvalidAnswers.cpp
@@ -132,3 +132,21 @@
     const int status = GENERATE(200, 299, 399, 404, 499, 500, 599);
     checkDelivered("HTTP/1.1 " + std::to_string(status) + " \r\n" + signedLines + markedLength + "\r\n" + markedBody, status, mark);
 }
+
+TEST_CASE("An interim response that announces a body is refused, as is a switch of protocols", "[invalid]")
+{
+    // Guards against callers that get the body of one message, or the bytes of another protocol, as an answer.
+    const std::string answer = "HTTP/1.1 200 OK\r\n" + signedLines + markedLength + "\r\n" + markedBody;
+    const std::string length = "Content-Length: " + std::to_string(answer.size()) + "\r\n\r\n";
+    const std::string statusLine = GENERATE(as<std::string>(), "HTTP/1.1 100 Continue\r\n", "HTTP/1.1 103 Early Hints\r\n");
+    checkRefused(statusLine + length + answer, "bad Content-Length");
+    checkRefused(statusLine + "Transfer-Encoding: chunked\r\n\r\n" + answer, "bad Transfer-Encoding");
+    checkRefused("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n" + answer, "bad status");
+    checkRefused("HTTP/1.1 101 Switching Protocols\r\n\r\n" + answer, "bad status");
+}
+
+TEST_CASE("An answer after sound interim responses is delivered", "[invalid]")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\nHTTP/1.1 199 Other\r\nLink: a\r\n\r\n";
+    checkDelivered(interim + soundAnswer, 200, soundBody);
+}
