Test that field names with an invalid byte are refused

The parser refuses each such name already, so only tests are added.

A stand-in sends them through the entry to a caller: each of the 178 bytes that a name may not hold, as its first, middle and last byte, in the first, a later and the last line; seven names under each rule for repeats, at once and one byte at a time, also in the head of an interim response; lines like "Content-Length : 4" that would frame the body; and names in the trailers, where the answer has begun and is broken off.

--- a/Tests/LibEntry/TestInvalidAnswers.cpp
+++ b/Tests/LibEntry/TestInvalidAnswers.cpp
@@ -16,8 +16,9 @@
 enum class Pace { AtOnce, OneByte };
 
 const std::string signedLines = "X-Attempt-Id: id1\r\nX-Response-Signature: signed\r\n";
+const std::string statusLine = "HTTP/1.1 200 OK\r\n";
 const std::string soundBody = "id: 1\ndata: sound\n\n";
-const std::string soundAnswer = "HTTP/1.1 200 OK\r\n" + signedLines + "Content-Length: " + std::to_string(soundBody.size()) + "\r\n\r\n" + soundBody;
+const std::string soundAnswer = statusLine + signedLines + "Content-Length: " + std::to_string(soundBody.size()) + "\r\n\r\n" + soundBody;
 /// Text that only invalid answers hold.
 const std::string mark = "invalid";
 const std::string markedBody = "id: 1\ndata: " + mark + "\n\n";
@@ -45,6 +46,21 @@
     }
 }
 
+/// All bytes that a field name may not hold, but for the colon that ends it (RFC 9110, section 5.6.2).
+std::string invalidNameBytes()
+{
+    const std::string others = "!#$%&'*+-.^_`|~:";
+    std::string bytes;
+    for (int value = 0; value < 256; ++value) {
+        const char byte = static_cast<char>(value);
+        const bool isValid = (byte >= '0' && byte <= '9') || (byte >= 'A' && byte <= 'Z') || (byte >= 'a' && byte <= 'z');
+        if (!isValid && others.find(byte) == std::string::npos) {
+            bytes += byte;
+        }
+    }
+    return bytes;
+}
+
 /// What a caller received, and how often its request was sent to an endpoint.
 struct Delivery {
     std::string received;
@@ -74,22 +90,27 @@
 }
 
 /// Checks that an invalid answer counts as a failed attempt whose request may have run, and that its caller gets nothing of it.
+void checkRefused(RepeatRule rule, const std::string &bytes, const std::string &reason, Pace pace = Pace::AtOnce)
+{
+    CAPTURE(bytes, static_cast<int>(rule), static_cast<int>(pace));
+    const Delivery delivery = deliver(bytes, rule, pace);
+    CHECK(delivery.received.find(mark) == std::string::npos);
+    if (mayRepeat(rule)) {
+        CHECK(delivery.runs == 2);
+        CHECK(delivery.received.starts_with(statusLine));
+        CHECK(delivery.received.find(soundBody) != std::string::npos);
+    } else {
+        CHECK(delivery.runs == 1);
+        CHECK(delivery.received.starts_with("HTTP/1.1 502 "));
+        CHECK(delivery.received.find("X-Response-Signature") == std::string::npos);
+        CHECK(bodyOf(delivery.received) == R"({"error":{"code":")" + reason + R"("}})");
+    }
+}
+
 void checkRefused(const std::string &bytes, const std::string &reason, Pace pace = Pace::AtOnce)
 {
     for (const RepeatRule rule : repeatRules()) {
-        CAPTURE(bytes, static_cast<int>(rule), static_cast<int>(pace));
-        const Delivery delivery = deliver(bytes, rule, pace);
-        CHECK(delivery.received.find(mark) == std::string::npos);
-        if (mayRepeat(rule)) {
-            CHECK(delivery.runs == 2);
-            CHECK(delivery.received.starts_with("HTTP/1.1 200 OK\r\n"));
-            CHECK(delivery.received.find(soundBody) != std::string::npos);
-        } else {
-            CHECK(delivery.runs == 1);
-            CHECK(delivery.received.starts_with("HTTP/1.1 502 "));
-            CHECK(delivery.received.find("X-Response-Signature") == std::string::npos);
-            CHECK(bodyOf(delivery.received) == R"({"error":{"code":")" + reason + R"("}})");
-        }
+        checkRefused(rule, bytes, reason, pace);
     }
 }
 
@@ -115,15 +136,15 @@
 {
     // Guards against callers that get such a status, or the body of such an answer as an answer of its own.
     const std::string status = GENERATE(as<std::string>(), "000", "001", "099", "600", "700", "999");
-    const std::string statusLine = "HTTP/1.1 " + status + " None\r\n" + signedLines;
-    const std::string answerInBody = "HTTP/1.1 200 OK\r\n" + signedLines + markedLength + "\r\n" + markedBody;
+    const std::string head = "HTTP/1.1 " + status + " None\r\n" + signedLines;
+    const std::string answerInBody = statusLine + signedLines + markedLength + "\r\n" + markedBody;
     const std::string reason = "bad status";
-    checkRefused(statusLine + "Content-Length: 0\r\n\r\n", reason);
-    checkRefused(statusLine + markedLength + "\r\n" + markedBody, reason);
-    checkRefused(statusLine + "\r\n" + markedBody, reason);
-    checkRefused(statusLine + "\r\n" + answerInBody, reason);
-    checkRefused(statusLine + "Content-Length: " + std::to_string(answerInBody.size()) + "\r\n\r\n" + answerInBody, reason);
-    checkRefused("HTTP/1.1 100 Continue\r\n\r\n" + statusLine + "\r\n" + answerInBody, reason);
+    checkRefused(head + "Content-Length: 0\r\n\r\n", reason);
+    checkRefused(head + markedLength + "\r\n" + markedBody, reason);
+    checkRefused(head + "\r\n" + markedBody, reason);
+    checkRefused(head + "\r\n" + answerInBody, reason);
+    checkRefused(head + "Content-Length: " + std::to_string(answerInBody.size()) + "\r\n\r\n" + answerInBody, reason);
+    checkRefused("HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\n" + answerInBody, reason);
 }
 
 TEST_CASE("An answer with a status from 200 to 599 is delivered, whether it is registered or not", "[invalid]")
@@ -136,11 +157,11 @@
 TEST_CASE("An interim response that announces a body is refused, as is a switch of protocols", "[invalid]")
 {
     // Guards against callers that get the body of one message, or the bytes of another protocol, as an answer.
-    const std::string answer = "HTTP/1.1 200 OK\r\n" + signedLines + markedLength + "\r\n" + markedBody;
+    const std::string answer = statusLine + signedLines + markedLength + "\r\n" + markedBody;
     const std::string length = "Content-Length: " + std::to_string(answer.size()) + "\r\n\r\n";
-    const std::string statusLine = GENERATE(as<std::string>(), "HTTP/1.1 100 Continue\r\n", "HTTP/1.1 103 Early Hints\r\n");
-    checkRefused(statusLine + length + answer, "bad Content-Length");
-    checkRefused(statusLine + "Transfer-Encoding: chunked\r\n\r\n" + answer, "bad Transfer-Encoding");
+    const std::string interim = GENERATE(as<std::string>(), "HTTP/1.1 100 Continue\r\n", "HTTP/1.1 103 Early Hints\r\n");
+    checkRefused(interim + length + answer, "bad Content-Length");
+    checkRefused(interim + "Transfer-Encoding: chunked\r\n\r\n" + answer, "bad Transfer-Encoding");
     checkRefused("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n" + answer, "bad status");
     checkRefused("HTTP/1.1 101 Switching Protocols\r\n\r\n" + answer, "bad status");
 }
@@ -150,3 +171,52 @@
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\nHTTP/1.1 199 Other\r\nLink: a\r\n\r\n";
     checkDelivered(interim + soundAnswer, 200, soundBody);
 }
+
+TEST_CASE("An answer whose head has a field name with an invalid byte is refused", "[invalid]")
+{
+    // Guards against callers that get such a line, or a body that is framed by the other lines alone.
+    for (const char byte : invalidNameBytes()) {
+        for (const std::string &name : {byte + mark, "X-" + std::string(1, byte) + mark, mark + byte}) {
+            const std::string line = name + ": 1\r\n";
+            const std::string reason = line.front() == '\r' ? "bad line ending" : "bad field";
+            checkRefused(RepeatRule::NonIdempotent, statusLine + line + signedLines + markedLength + "\r\n" + markedBody, reason);
+            if (byte != ' ' && byte != '\t') {
+                checkRefused(RepeatRule::NonIdempotent, statusLine + signedLines + line + markedLength + "\r\n" + markedBody, reason);
+                checkRefused(RepeatRule::NonIdempotent, statusLine + signedLines + markedLength + line + "\r\n" + markedBody, reason);
+            }
+        }
+    }
+}
+
+TEST_CASE("A field name with an invalid byte is found under each rule, at once and in pieces", "[invalid]")
+{
+    const std::string name = GENERATE_COPY(as<std::string>(), "X " + mark, "X\t" + mark, "X\1" + mark, "X\x7f" + mark, "X\xe9" + mark, mark + " ", "");
+    const std::string line = name + ": 1\r\n";
+    for (const Pace pace : {Pace::AtOnce, Pace::OneByte}) {
+        checkRefused(statusLine + signedLines + line + markedLength + "\r\n" + markedBody, "bad field", pace);
+        checkRefused(statusLine + signedLines + markedLength + line + "\r\n" + markedBody, "bad field", pace);
+        checkRefused("HTTP/1.1 100 Continue\r\n" + line + "\r\n" + statusLine + signedLines + markedLength + "\r\n" + markedBody, "bad field", pace);
+    }
+}
+
+TEST_CASE("A line that would frame the body with a valid name is not taken for another one", "[invalid]")
+{
+    // Guards against a body that goes on to the end of the connection, with the marks of its chunks, because the line was passed over.
+    const std::string line =
+        GENERATE(as<std::string>(), "Content-Length : 4", "Content Length: 4", "Transfer-Encoding : chunked", "Transfer Encoding: chunked");
+    checkRefused(statusLine + signedLines + line + "\r\n\r\n" + markedBody, "bad field");
+    checkRefused(statusLine + line + "\r\n" + signedLines + "\r\n" + markedBody, "bad field");
+}
+
+TEST_CASE("A field name with an invalid byte in the trailers breaks the answer off", "[invalid]")
+{
+    const std::string name = GENERATE_COPY(as<std::string>(), "X " + mark, "X\t" + mark, "X\1" + mark, "X\x7f" + mark, "X\xe9" + mark, mark + " ", " " + mark);
+    const std::string chunked = statusLine + signedLines + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + soundBody + "\r\n0\r\n";
+    CAPTURE(name);
+    const std::string bytes = chunked + name + ": 1\r\n\r\n";
+    checkRefused(RepeatRule::NonIdempotent, bytes, "bad field");
+    checkRefused(RepeatRule::Idempotent, bytes, "bad field");
+    const std::string received = deliver(bytes, RepeatRule::Stream, Pace::AtOnce).received;
+    CHECK(received.find(soundBody) != std::string::npos);
+    CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+}
