Refuse answers with folded lines in the head

Callers saw: a field whose name begins with a blank or a tab, passed on in the value of the field before it; and where that line held the length or the coding of the body, a body framed without it, so that the marks of chunks or whatever came before the end of the connection passed for the answer.

Cause: the parser joins a line that begins with a blank to the one before (obsolete line folding). RFC 9112, section 5.2, forbids senders to fold lines and lets a gateway refuse an answer that does.

Change: the client reads the head itself, piece by piece as before, and searches it for folded lines before the parser gets it. The reason is "bad obs-fold". Blanks around a value and lines of the body are not affected. The test of field names expected the parser's "bad field" for a blank before the first field; there the answer is still refused, with the new reason.

Test: a stand-in sends folded lines through the entry to a caller, under each rule for repeats, at once and one byte at a time.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -198,7 +198,7 @@
     {
         boost::system::error_code error;
         for (int interim = 0;; ++interim) {
-            co_await Http::async_read_header(*this->stream, this->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
+            error = co_await this->parseHead();
             if (!error) {
                 error = checkResponseHead(this->parser->get());
             }
@@ -281,6 +281,30 @@
         this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     }
 
+    // Reads until the parser has the whole head. The parser joins folded lines, so they are searched before it gets the bytes.
+    Asio::awaitable<boost::system::error_code> parseHead()
+    {
+        boost::system::error_code error;
+        while (true) {
+            const Asio::const_buffer received = this->buffer.data();
+            if (hasFoldedLine({static_cast<const char *>(received.data()), received.size()})) {
+                co_return Http::make_error_code(Http::error::bad_obs_fold);
+            }
+            this->buffer.consume(this->parser->put(received, error));
+            if (error != Http::error::need_more) {
+                co_return error;
+            }
+            const std::size_t room = std::min(readBufferBytes, this->buffer.max_size() - this->buffer.size());
+            this->buffer.commit(co_await this->stream->async_read_some(this->buffer.prepare(room), Asio::redirect_error(Asio::use_awaitable, error)));
+            if (error == Asio::error::eof) {
+                co_return Http::make_error_code(this->parser->got_some() ? Http::error::partial_message : Http::error::end_of_stream);
+            }
+            if (error) {
+                co_return error;
+            }
+        }
+    }
+
     // Time that the connection may stay in the pool, derived from the Keep-Alive header of the response.
     Duration keepAliveTime() const
     {
--- a/Libraries/LibHttp/ResponseHead.cpp
+++ b/Libraries/LibHttp/ResponseHead.cpp
@@ -47,4 +47,21 @@
     return isInterimStatus(head.result_int()) ? checkInterimHead(head) : boost::system::error_code();
 }
 
+// RFC 9112, section 5.2: a sender must not fold lines, and a gateway may refuse a response that does. Joined to the line before, a field that begins with a
+// blank would be passed on in another one's value, and a length or coding in it would not frame the body.
+bool hasFoldedLine(std::string_view bytes)
+{
+    static constexpr std::string_view lineBreak = "\r\n";
+    while (true) {
+        const std::size_t length = bytes.find(lineBreak);
+        if (length == std::string_view::npos || length == 0) {
+            return false;
+        }
+        bytes.remove_prefix(length + lineBreak.size());
+        if (bytes.starts_with(' ') || bytes.starts_with('\t')) {
+            return true;
+        }
+    }
+}
+
 } // namespace Godwitfork
--- a/Tests/LibEntry/TestInvalidAnswers.cpp
+++ b/Tests/LibEntry/TestInvalidAnswers.cpp
@@ -178,7 +178,8 @@
     for (const char byte : invalidNameBytes()) {
         for (const std::string &name : {byte + mark, "X-" + std::string(1, byte) + mark, mark + byte}) {
             const std::string line = name + ": 1\r\n";
-            const std::string reason = line.front() == '\r' ? "bad line ending" : "bad field";
+            const bool isBlank = line.front() == ' ' || line.front() == '\t';
+            const std::string reason = line.front() == '\r' ? "bad line ending" : isBlank ? "bad obs-fold" : "bad field";
             checkRefused(RepeatRule::NonIdempotent, statusLine + line + signedLines + markedLength + "\r\n" + markedBody, reason);
             if (byte != ' ' && byte != '\t') {
                 checkRefused(RepeatRule::NonIdempotent, statusLine + signedLines + line + markedLength + "\r\n" + markedBody, reason);
@@ -220,3 +221,29 @@
     CHECK(received.find(soundBody) != std::string::npos);
     CHECK_FALSE(received.ends_with("0\r\n\r\n"));
 }
+
+TEST_CASE("An answer whose head has a line that begins with a blank is refused", "[invalid]")
+{
+    // Guards against a field that becomes part of another one's value, so that its caller gets it there, or a body without the length in it.
+    const std::string blank = GENERATE(as<std::string>(), " ", "\t", " \t  ");
+    const std::string before = GENERATE_COPY(signedLines, "X-Empty:\r\n" + signedLines, signedLines + "X-Empty: \r\n");
+    for (const Pace pace : {Pace::AtOnce, Pace::OneByte}) {
+        checkRefused(statusLine + before + blank + "X-" + mark + ": 1\r\n" + markedLength + "\r\n" + markedBody, "bad obs-fold", pace);
+        checkRefused(statusLine + before + markedLength + blank + mark + "\r\n\r\n" + markedBody, "bad obs-fold", pace);
+        checkRefused(statusLine + before + blank + markedLength + "\r\n" + markedBody, "bad obs-fold", pace);
+        checkRefused(statusLine + before + blank + "Transfer-Encoding: chunked\r\n\r\n" + markedBody, "bad obs-fold", pace);
+        checkRefused(
+            "HTTP/1.1 100 Continue\r\nX-A: 1\r\n" + blank + "X-B: 1\r\n\r\n" + statusLine + before + markedLength + "\r\n" + markedBody, "bad obs-fold", pace);
+    }
+}
+
+TEST_CASE("Blanks around a value and at the start of a body are not a folded line", "[invalid]")
+{
+    const std::string blanks = "X-Blank: \t a b \t \r\nX-Empty:\r\nX-Empty: \r\n";
+    const std::string body = "\r\n folded: no\r\n\r\n id: 1\ndata: sound\n\n";
+    const Pace pace = GENERATE(Pace::AtOnce, Pace::OneByte);
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    const Delivery delivery = deliver(statusLine + blanks + signedLines + length + body, RepeatRule::NonIdempotent, pace);
+    CHECK(delivery.received.find("X-Blank: a b\r\n") != std::string::npos);
+    CHECK(bodyOf(delivery.received) == body);
+}
