Refuse answers with a transfer coding that the client cannot decode

Callers saw: coded bytes, or a body with the marks of its chunks in it, as the endpoint's whole answer, if the head named gzip, or chunked and another coding.

Cause: of the codings the parser looks for chunked as the last one alone. With any other it reads the body to the end of the connection; with another before it, it decodes the chunks only. The entry does not pass the coding on, so its caller cannot know.

Change: ResponseHead accepts chunked alone, once, and no coding in HTTP/1.0, where RFC 9112, section 6.1, calls the framing faulty. The client announces no codings, so no other is allowed. The reason is "bad Transfer-Encoding".

Test: a stand-in sends nine such answers through the entry to a caller, under each rule for repeats. Other spellings of chunked are delivered, before and since.

--- a/Libraries/LibHttp/ResponseHead.cpp
+++ b/Libraries/LibHttp/ResponseHead.cpp
@@ -1,6 +1,8 @@
 #include "LibHttp/ResponseHead.h"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
 namespace Godwitfork
 {
@@ -13,6 +15,28 @@
 constexpr unsigned minFinalStatus = 200;
 constexpr unsigned maxStatus = 599;
 constexpr unsigned switchingProtocolsStatus = 101;
+constexpr unsigned minVersionWithCodings = 11;
+
+// RFC 9112, sections 6.1 and 7: the client announces no codings, so a server may apply chunked alone, once. The parser looks for the last coding only, and
+// reads a body to the end of the connection if that is another one.
+bool isCodingKnown(const Http::response_header<> &head)
+{
+    int codings = 0;
+    const auto fields = head.equal_range(Http::field::transfer_encoding);
+    for (auto field = fields.first; field != fields.second; ++field) {
+        const Http::opt_token_list names(field->value());
+        if (!Http::validate_list(names)) {
+            return false;
+        }
+        for (const auto &name : names) {
+            if (!boost::beast::iequals(name, "chunked")) {
+                return false;
+            }
+            ++codings;
+        }
+    }
+    return codings == 1 && head.version() >= minVersionWithCodings;
+}
 
 // RFC 9110, section 8.6, and RFC 9112, section 6.1: an interim response has no body and announces none. The bytes after one that does may be its body,
 // which must not be taken for the next response.
@@ -44,6 +68,9 @@
     if (head.result_int() < minStatus || head.result_int() > maxStatus) {
         return Http::make_error_code(Http::error::bad_status);
     }
+    if (head.count(Http::field::transfer_encoding) > 0 && !isCodingKnown(head)) {
+        return Http::make_error_code(Http::error::bad_transfer_encoding);
+    }
     return isInterimStatus(head.result_int()) ? checkInterimHead(head) : boost::system::error_code();
 }
 
--- a/Tests/LibEntry/TestInvalidAnswers.cpp
+++ b/Tests/LibEntry/TestInvalidAnswers.cpp
@@ -23,6 +23,7 @@
 const std::string mark = "invalid";
 const std::string markedBody = "id: 1\ndata: " + mark + "\n\n";
 const std::string markedLength = "Content-Length: " + std::to_string(markedBody.size()) + "\r\n";
+const std::string markedChunks = "15\r\n" + markedBody + "\r\n0\r\n\r\n";
 
 const std::vector<RepeatRule> &repeatRules()
 {
@@ -247,3 +248,23 @@
     CHECK(delivery.received.find("X-Blank: a b\r\n") != std::string::npos);
     CHECK(bodyOf(delivery.received) == body);
 }
+
+TEST_CASE("An answer with a transfer coding that the client cannot decode is refused", "[invalid]")
+{
+    // Guards against callers that get coded bytes, or the marks of chunks, as the body.
+    const std::string coding = GENERATE(
+        as<std::string>(), "gzip", "identity", "", "gzip, chunked", "chunked, gzip", "chunked, chunked", "gzip\r\nTransfer-Encoding: chunked", "chunked; a=1");
+    checkRefused(statusLine + signedLines + "Transfer-Encoding: " + coding + "\r\n\r\n" + markedChunks, "bad Transfer-Encoding");
+}
+
+TEST_CASE("An answer of HTTP/1.0, which has no transfer codings, is refused if it names one", "[invalid]")
+{
+    checkRefused("HTTP/1.0 200 OK\r\n" + signedLines + "Transfer-Encoding: chunked\r\n\r\n" + markedChunks, "bad Transfer-Encoding");
+}
+
+TEST_CASE("An answer in chunks is delivered, however the name of the coding is written", "[invalid]")
+{
+    const std::string coding = GENERATE(as<std::string>(), "chunked", "Chunked", " CHUNKED ", "chunked,", ", chunked");
+    const std::string chunks = "13\r\n" + soundBody + "\r\n0\r\n\r\n";
+    checkDelivered(statusLine + signedLines + "Transfer-Encoding: " + coding + "\r\n\r\n" + chunks, 200, soundBody);
+}
