Do not take a reset connection for the end of an answer

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. They got that part as a complete answer.

Cause, traced with a line at each read and at the end of the write: the kernel reports a connection's error once, to the first call on it. The event loop woke the write first; it took "Connection reset by peer" (28 of 32 deliveries), and the read after it saw a plain end of the stream, which ends a body without a length. In the other four the read took the error, and the answer was refused.

Change: when the end of the connection ends a body, the client looks at the result of the write (OutgoingRequest). A write that is still in progress is aborted, which it was before too once the answer had ended; one that has taken an error reports it. With such an error the answer is broken off, by its reason, as by one that a read returns. Two ends stay in order: the write had no error, so that the end of the stream was the peer's; and a broken pipe, which Linux reports in place of a reset if the peer had ended its side before. RFC 9112, section 9.6, lets a server close its side first and the rest later, so its answer has arrived to the end. All bodies are read there, so this holds for the store, peers and the operators' API as well.

Test: a stand-in resets the connection by linger 0, at once and after 10 and 100 ms, or closes it with unread input, with HTTP/1.1 and 1.0, under each rule for repeats, beside an upload of 8 MiB through the entry.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "LibHttp/HttpClient.h"
 
+#include "LibHttp/OutgoingRequest.h"
 #include "LibHttp/ResponseHead.h"
 
 #include <boost/asio/detail/socket_option.hpp>
@@ -59,13 +60,6 @@
     SharedStream stream;
     MonotonicTime expires;
 };
-
-/// A request that is being sent. It may outlive the call, since the peer may respond before it has read the whole request.
-struct OutgoingRequest {
-    Http::request<Http::span_body<const char>> message;
-    std::shared_ptr<const std::string> body;
-    bool written = false;
-};
 } // namespace
 
 struct HttpClient::State {
@@ -237,6 +231,9 @@
             boost::system::error_code error;
             this->stream->expires_after(this->idleTimeout);
             co_await Http::async_read_some(*this->stream, this->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
+            if (!error && this->parser->is_done() && !this->isFramed()) {
+                error = co_await findConnectionError(*this->request, *this->stream);
+            }
             if (error && error != Http::error::need_buffer) {
                 this->stream->close();
                 this->stream.reset();
@@ -254,7 +251,7 @@
                 co_return std::string(this->bytes.data(), received);
             }
         }
-        if (this->stream && this->parser->keep_alive() && this->buffer.size() == 0 && this->request->written) {
+        if (this->stream && this->parser->keep_alive() && this->buffer.size() == 0 && this->request->isWritten()) {
             // The connection is reused by other calls, which the canceller of this call must not cancel.
             if (this->canceller) {
                 this->canceller->detach();
@@ -352,22 +349,6 @@
     }
 }
 
-Http::request<Http::span_body<const char>> makeMessage(const HttpAddress &address, const HttpRequest &request, const std::string &body)
-{
-    Http::request<Http::span_body<const char>> message;
-    message.method_string(request.method);
-    message.target(request.target);
-    message.version(11);
-    for (const HttpHeader &header : request.headers) {
-        message.insert(header.name, header.value);
-    }
-    if (message.find(Http::field::host) == message.end()) {
-        message.set(Http::field::host, toText(address));
-    }
-    message.body() = Beast::span<const char>(body.data(), body.size());
-    message.prepare_payload();
-    return message;
-}
 } // namespace
 
 void HttpCallCanceller::cancel()
@@ -429,18 +410,14 @@
         co_return HttpClientError {SendPhase::NotSent, HttpFailure::ConnectionLost, "cancelled"};
     }
 
-    auto outgoing = std::make_shared<OutgoingRequest>();
-    outgoing->body = options.sharedBody ? std::move(options.sharedBody) : std::make_shared<const std::string>(std::move(request.body));
-    outgoing->message = makeMessage(address, request, *outgoing->body);
+    std::shared_ptr<const std::string> body = options.sharedBody ? std::move(options.sharedBody) : std::make_shared<const std::string>(std::move(request.body));
+    auto outgoing = std::make_shared<OutgoingRequest>(address, request, std::move(body), *stream);
     stream->expires_after(options.responseTimeout);
     if (options.mayWrite && !options.mayWrite()) {
         co_return HttpClientError {SendPhase::NotSent, HttpFailure::Withheld, "the request was withheld before its first byte was sent"};
     }
     // The response is read while the request is still being sent, since the peer may respond before it has read a long body.
-    Http::async_write(*stream, outgoing->message, [stream, outgoing](const boost::system::error_code &writeError, std::size_t) {
-        outgoing->written = !writeError;
-        outgoing->body.reset();
-    });
+    startWriting(outgoing, stream);
     auto response =
         std::make_unique<PooledResponseStream>(state, address, options.idleTimeout, options.maxBodyBytes, std::move(stream), outgoing, options.canceller);
     error = co_await response->readHeader();
--- a/Tests/LibEntry/EntryFixture.cpp
+++ b/Tests/LibEntry/EntryFixture.cpp
@@ -42,7 +42,7 @@
 const HttpAddress anyPort {"127.0.0.1", 0};
 } // namespace
 
-EntryFixture::EntryFixture()
+EntryFixture::EntryFixture(const HttpServerLimits &limits)
     : state(testSettings())
     , context(1)
     , routerClient(this->context)
@@ -51,7 +51,7 @@
     , router(
           this->context,
           anyPort,
-          {},
+          limits,
           [this](HttpExchange &exchange) { return this->serve(exchange); },
           refusal)
 {
--- a/Tests/LibEntry/EntryFixture.h
+++ b/Tests/LibEntry/EntryFixture.h
@@ -28,7 +28,8 @@
     using RawScript = std::function<RawAnswer(const std::string &request)>;
     using EndpointScript = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
 
-    EntryFixture();
+    /// `limits` are those of the router's listener.
+    explicit EntryFixture(const HttpServerLimits &limits = {});
 
     /// Adds a ready endpoint whose requests are handled by `script`.
     void addEndpoint(const std::string &id, EndpointScript script);
