--- a/Tests/LibEntry/TestInvalidAnswers.cpp
+++ b/Tests/LibEntry/TestInvalidAnswers.cpp
@@ -268,3 +268,13 @@
     const std::string chunks = "13\r\n" + soundBody + "\r\n0\r\n\r\n";
     checkDelivered(statusLine + signedLines + "Transfer-Encoding: " + coding + "\r\n\r\n" + chunks, 200, soundBody);
 }
+
+TEST_CASE("Nothing of an answer's trailers is passed on", "[invalid]")
+{
+    // Guards against trailers that replace a header, or are joined to one by a folded line.
+    const std::string trailers = "X-Trailer: " + mark + "\r\n folded-" + mark + "\r\nX-Response-Signature: " + mark + "\r\n";
+    const std::string bytes = statusLine + signedLines + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + soundBody + "\r\n0\r\n" + trailers + "\r\n";
+    checkDelivered(bytes, 200, soundBody);
+    CHECK(deliver(bytes, RepeatRule::NonIdempotent, Pace::AtOnce).received.find(mark) == std::string::npos);
+    CHECK(deliver(bytes, RepeatRule::Stream, Pace::AtOnce).received.find(mark) == std::string::npos);
+}
