Keep the buffer of an answer's head small

Since the first read of an answer made room for 16 KiB, where the library makes room for 512 bytes and grows. Found by reading the change; each request in progress would have held that much more, beside the 32 KiB that the memory account expects for one. The head is read in the library's steps again, and a buffer without room ends the read.

The memory itself was not measured.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -291,7 +291,10 @@
             if (error != Http::error::need_more) {
                 co_return error;
             }
-            const std::size_t room = std::min(readBufferBytes, this->buffer.max_size() - this->buffer.size());
+            const std::size_t room = Beast::read_size(this->buffer, readBufferBytes);
+            if (room == 0) {
+                co_return Http::make_error_code(Http::error::buffer_overflow);
+            }
             this->buffer.commit(co_await this->stream->async_read_some(this->buffer.prepare(room), Asio::redirect_error(Asio::use_awaitable, error)));
             if (error == Asio::error::eof) {
                 co_return Http::make_error_code(this->parser->got_some() ? Http::error::partial_message : Http::error::end_of_stream);
@@ -348,7 +351,6 @@
         socket.set_option(KeepAliveCount(keepAliveProbes), ignored);
     }
 }
-
 } // namespace
 
 void HttpCallCanceller::cancel()
