Mend the heads that the test of folded lines sends

AddressSanitizer: a generator of the test held references to temporary strings, so for two of three positions the answers began with whatever was there. The heads are now values.

The test is as strict as before.

--- a/Tests/LibEntry/TestInvalidAnswers.cpp
+++ b/Tests/LibEntry/TestInvalidAnswers.cpp
@@ -227,7 +227,7 @@
 {
     // Guards against a field that becomes part of another one's value, so that its caller gets it there, or a body without the length in it.
     const std::string blank = GENERATE(as<std::string>(), " ", "\t", " \t  ");
-    const std::string before = GENERATE_COPY(signedLines, "X-Empty:\r\n" + signedLines, signedLines + "X-Empty: \r\n");
+    const std::string before = GENERATE_COPY(as<std::string>(), signedLines, "X-Empty:\r\n" + signedLines, signedLines + "X-Empty: \r\n");
     for (const Pace pace : {Pace::AtOnce, Pace::OneByte}) {
         checkRefused(statusLine + before + blank + "X-" + mark + ": 1\r\n" + markedLength + "\r\n" + markedBody, "bad obs-fold", pace);
         checkRefused(statusLine + before + markedLength + blank + mark + "\r\n\r\n" + markedBody, "bad obs-fold", pace);
