--- a/Tests/LibEntry/EntryFixture.cpp
+++ b/Tests/LibEntry/EntryFixture.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <cstdio>
+
 namespace Godwitfork
 {
 
@@ -297,4 +299,17 @@
     return {{"Host", "h.example"}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "3000"}};
 }
 
+std::string bodyOf(const std::string &received)
+{
+    const std::size_t headEnd = received.find("\r\n\r\n");
+    return headEnd == std::string::npos ? std::string() : received.substr(headEnd + 4);
+}
+
+std::string chunk(const std::string &bytes)
+{
+    char length[16];
+    std::snprintf(length, sizeof length, "%zx\r\n", bytes.size());
+    return length + bytes + "\r\n";
+}
+
 } // namespace Godwitfork
--- a/Tests/LibEntry/EntryFixture.h
+++ b/Tests/LibEntry/EntryFixture.h
@@ -82,5 +82,9 @@
 HttpHeaders validAnswerHeaders(const HttpExchange &exchange);
 /// Headers of a request to `h.example` with the given id and a deadline of 3 s.
 HttpHeaders callerHeaders(const std::string &id);
+/// Body of an answer as it was received, with the marks of its chunks; empty if the head is not complete.
+std::string bodyOf(const std::string &received);
+/// A chunk of a body in chunked coding.
+std::string chunk(const std::string &bytes);
 
 } // namespace Godwitfork
--- a/Tests/LibEntry/TestBrokenAnswers.cpp
+++ b/Tests/LibEntry/TestBrokenAnswers.cpp
@@ -48,13 +48,6 @@
     return text;
 }
 
-std::string chunk(const std::string &bytes)
-{
-    char length[16];
-    std::snprintf(length, sizeof length, "%zx\r\n", bytes.size());
-    return length + bytes + "\r\n";
-}
-
 std::string lengthOf(std::size_t length)
 {
     return "Content-Length: " + std::to_string(length) + "\r\n\r\n";
--- a/Tests/LibEntry/TestEarlyAnswers.cpp
+++ b/Tests/LibEntry/TestEarlyAnswers.cpp
@@ -120,19 +120,6 @@
     return delivery;
 }
 
-std::string bodyOf(const std::string &received)
-{
-    const std::size_t headEnd = received.find("\r\n\r\n");
-    return headEnd == std::string::npos ? std::string() : received.substr(headEnd + 4);
-}
-
-std::string chunk(const std::string &bytes)
-{
-    char length[16];
-    std::snprintf(length, sizeof length, "%zx\r\n", bytes.size());
-    return length + bytes + "\r\n";
-}
-
 const std::string lastChunk = "0\r\n\r\n";
 } // namespace
 
--- a/Tests/LibEntry/TestInvalidAnswers.cpp
+++ b/Tests/LibEntry/TestInvalidAnswers.cpp
@@ -84,12 +84,6 @@
     return delivery;
 }
 
-std::string bodyOf(const std::string &received)
-{
-    const std::size_t headEnd = received.find("\r\n\r\n");
-    return headEnd == std::string::npos ? std::string() : received.substr(headEnd + 4);
-}
-
 /// Checks that an invalid answer counts as a failed attempt whose request may have run, and that its caller gets nothing of it.
 void checkRefused(RepeatRule rule, const std::string &bytes, const std::string &reason, Pace pace = Pace::AtOnce)
 {
