Show that a stream goes on elsewhere while its endpoint still works on it

Cause: an endpoint that is silent for three times the pause objective is left without any word from it, and the next attempt starts at once.

--- a/review/rig-3/Rig.cpp
+++ b/review/rig-3/Rig.cpp
@@ -25,8 +25,11 @@
 {
 constexpr int backlog = 512;
 constexpr std::size_t readSize = 16384;
-constexpr int streamEvents = 3;
-constexpr long bytesInMb = 1'000'000;
+/// Event before which a run may be preempted.
+constexpr int preemptedEvent = 5;
+/// Time limits of the sheet's clients.
+constexpr int streamDeadlineMs = 12000;
+constexpr int plainDeadlineMs = 1500;
 
 sockaddr_in loopback(int port)
 {
@@ -456,12 +459,21 @@
 {
 }
 
-void RunBook::add(const Run &run)
+std::size_t RunBook::add(const Run &run)
 {
     const std::lock_guard lock(this->mutex);
     this->runs.push_back(run);
+    this->runs.back().begun = Clock::now();
     this->record.line(
         "run at ", run.replica, ": id ", run.id, " ", run.method, " ", run.target, " tenant '", run.account, "' body ", run.body.size(), " bytes");
+    return this->runs.size() - 1;
+}
+
+void RunBook::end(std::size_t number)
+{
+    const std::lock_guard lock(this->mutex);
+    this->runs[number].ended = Clock::now();
+    this->record.line("run at ", this->runs[number].replica, " ended: id ", this->runs[number].id);
 }
 
 std::vector<Run> RunBook::of(const std::string &id)
@@ -492,7 +504,7 @@
     const Json spec = {{"service", this->settings.service},
                        {"address", "127.0.0.1:" + std::to_string(this->port())},
                        {"zone", this->settings.zone},
-                       {"version", this->settings.version},
+                       {"version", "v1"},
                        {"slots", 6},
                        {"state", "ready"},
                        {"coldRemainingMs", 0},
@@ -511,22 +523,27 @@
     }).detach();
 }
 
-bool Replica::sendStream(Connection &connection, const std::string &id, const std::string &common) const
+bool Replica::sendStream(Connection &connection, const Request &request, const std::string &common, std::size_t runsBefore) const
 {
+    const std::string id = header(request.headers, "X-Attempt-Id");
+    const int after = std::atoi(header(request.headers, "Last-Event-Id").c_str());
     std::string text =
-        "HTTP/1.1 200 OK\r\n" + common + "X-Response-Signature: signed-" + id + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (int number = 1; number <= streamEvents; ++number) {
-        const std::string event = "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
-        char size[16];
-        std::snprintf(size, sizeof size, "%zx", event.size());
-        text += std::string(size) + "\r\n" + event + "\r\n";
-        if (!connection.send(text)) {
-            return false;
+        joined("HTTP/1.1 200 OK\r\n", common, "X-Response-Signature: signed-", id, "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    bool isOpen = true;
+    for (int number = after + 1; number <= this->settings.events; ++number) {
+        pause(this->settings.work / this->settings.events);
+        if (number == preemptedEvent && this->settings.preemption) {
+            pause(this->settings.preemption(id, runsBefore));
         }
+        const std::string event = joined("id: ", number, "\ndata: ", id, "\n\n");
+        text += joined(std::hex, event.size(), "\r\n", event, "\r\n");
+        isOpen = isOpen && connection.send(text);
         text.clear();
-        pause(this->settings.work / streamEvents);
+        if (!isOpen && !this->settings.ignoresClose) {
+            return false;
+        }
     }
-    return connection.send("0\r\n\r\n");
+    return isOpen && connection.send(text + "0\r\n\r\n");
 }
 
 void Replica::serve(Connection &connection)
@@ -547,29 +564,23 @@
             connection.send("HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
-        this->book.add({id, this->settings.id, request.method, request.target, header(request.headers, "X-Tenant"), request.body});
+        const std::size_t runsBefore = this->book.of(id).size();
+        const std::size_t run =
+            this->book.add({id, this->settings.id, request.method, request.target, header(request.headers, "X-Tenant"), request.body, {}, {}});
         if (request.target.compare(0, 7, "/draft/") == 0) {
-            if (!this->sendStream(connection, id, common)) {
+            const bool isOpen = this->sendStream(connection, request, common, runsBefore);
+            this->book.end(run);
+            if (!isOpen) {
                 return;
             }
             continue;
         }
         pause(this->settings.work);
-        const int status = this->settings.status ? this->settings.status(request.target) : 200;
+        this->book.end(run);
         const std::string body = "answer to " + id + "\n";
         const std::string sent = request.method == "HEAD" ? std::string() : body;
-        const std::string text = joined("HTTP/1.1 ",
-                                        status,
-                                        " ",
-                                        reasonPhrase(status),
-                                        "\r\n",
-                                        common,
-                                        "X-Response-Signature: signed-",
-                                        id,
-                                        "\r\nContent-Length: ",
-                                        body.size(),
-                                        "\r\n\r\n",
-                                        sent);
+        const std::string text =
+            joined("HTTP/1.1 200 OK\r\n", common, "X-Response-Signature: signed-", id, "\r\nContent-Length: ", body.size(), "\r\n\r\n", sent);
         if (!connection.send(text)) {
             return;
         }
@@ -637,20 +648,6 @@
     return !this->hasEnded;
 }
 
-long Entry::residentMb() const
-{
-    std::ifstream file("/proc/" + std::to_string(this->process) + "/statm");
-    long all = 0;
-    long resident = 0;
-    file >> all >> resident;
-    return resident * ::sysconf(_SC_PAGESIZE) / bytesInMb;
-}
-
-void Entry::kill() const
-{
-    ::kill(this->process, SIGKILL);
-}
-
 std::string Entry::end() const
 {
     if (!this->hasEnded) {
@@ -680,7 +677,8 @@
                         const std::string &body,
                         const std::string &more)
 {
-    std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: " + id + "\r\nX-Deadline-Ms: 1500\r\n";
+    const int deadline = target.compare(0, 7, "/draft/") == 0 ? streamDeadlineMs : plainDeadlineMs;
+    std::string text = joined(method, " ", target, " HTTP/1.1\r\nHost: ", host, "\r\nX-Attempt-Id: ", id, "\r\nX-Deadline-Ms: ", deadline, "\r\n");
     if (!key.empty()) {
         text += "Authorization: Bearer " + key + "\r\n";
     }
--- a/review/rig-3/Rig.h
+++ b/review/rig-3/Rig.h
@@ -173,6 +173,9 @@
     std::string target;
     std::string account;
     std::string body;
+    Clock::time_point begun;
+    /// End of the work; not set while the replica works.
+    Clock::time_point ended;
 };
 
 /// Runs of all replicas.
@@ -180,7 +183,9 @@
 {
 public:
     explicit RunBook(Record &record);
-    void add(const Run &run);
+    /// Records that a replica begins to work. Returns the run's number.
+    std::size_t add(const Run &run);
+    void end(std::size_t number);
     std::vector<Run> of(const std::string &id);
 
 private:
@@ -193,10 +198,13 @@
     std::string id;
     std::string service;
     std::string zone;
-    std::string version = "v1";
     Milliseconds work = Milliseconds(60);
-    /// Status that follows the work, given the path; 200 if not set.
-    std::function<int(const std::string &)> status;
+    /// Events of a stream, with the same pause before each of them.
+    int events = 3;
+    /// Pause before the fifth event of a run, given the request's id and the number of runs that it had before; none if not set.
+    std::function<Milliseconds(const std::string &, std::size_t)> preemption;
+    /// Whether a run goes on when its connection is closed.
+    bool ignoresClose = false;
 };
 
 /// A replica. It runs each request that names it, with a short stream of events as the answer on paths below /draft/, and reports to the store.
@@ -212,7 +220,7 @@
 
 private:
     void serve(Connection &connection);
-    bool sendStream(Connection &connection, const std::string &id, const std::string &common) const;
+    bool sendStream(Connection &connection, const Request &request, const std::string &common, std::size_t runsBefore) const;
 
     ReplicaSettings settings;
     Store &store;
@@ -241,10 +249,6 @@
 
     int port() const;
     bool isRunning();
-    /// Resident memory of the process, in MB of the settings (1,000,000 bytes).
-    long residentMb() const;
-    /// Kills the process, as the platform does at the memory limit.
-    void kill() const;
     /// How the process ended, as text.
     std::string end() const;
     bool waitUntilReady(Milliseconds limit) const;
