Tell a closed connection from a missing answer in the clients of a review

Cause: the rule LOST speaks of connections that are closed without an answer; the clients also counted an answer that was missing for 3 s.

--- a/review/rig-3/Deployment.cpp
+++ b/review/rig-3/Deployment.cpp
@@ -93,18 +93,20 @@
         const std::string id = "order-" + std::to_string(client) + "-" + std::to_string(number);
         const bool isSent = connection->send(requestText("POST", "/orders/1", id, "key-a", "signet"));
         const Answer answer = isSent ? connection->readAnswer(std::chrono::seconds(3)) : Answer();
-        const bool isCut = answer.status == 0;
+        const bool isCut = !isSent || (answer.status == 0 && answer.isClosed);
         this->deployment.record.line("order ",
                                      id,
                                      " sent to entry ",
                                      entry + 1,
                                      " on a kept connection: ",
-                                     (isCut ? "closed without an answer" : "answer " + std::to_string(answer.status)));
+                                     (isCut                    ? "closed without an answer"
+                                          : answer.status == 0 ? "no answer"
+                                                               : "answer " + std::to_string(answer.status)));
         {
             const std::lock_guard lock(this->mutex);
             this->orders.push_back({id, isCut});
         }
-        if (isCut) {
+        if (answer.status == 0) {
             pause(reconnectPause);
             connection = Connection::open(port);
             if (!connection->isOpen()) {
--- a/review/rig-3/Rig.cpp
+++ b/review/rig-3/Rig.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -146,6 +147,7 @@
     char bytes[readSize];
     const ssize_t count = ::recv(this->descriptor, bytes, sizeof bytes, 0);
     if (count <= 0) {
+        this->isEnded = count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
         return false;
     }
     this->buffer.append(bytes, static_cast<std::size_t>(count));
@@ -235,6 +237,7 @@
     ::setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &time, sizeof time);
     Answer answer;
     if (!this->readHead(answer.statusLine, answer.headers) || answer.statusLine.compare(0, 9, "HTTP/1.1 ") != 0) {
+        answer.isClosed = this->isEnded;
         return answer;
     }
     answer.status = std::atoi(answer.statusLine.c_str() + 9);
@@ -245,6 +248,7 @@
     } else {
         answer.isComplete = this->readBytes(std::strtoul(header(answer.headers, "Content-Length").c_str(), nullptr, 10), answer.body);
     }
+    answer.isClosed = !answer.isComplete && this->isEnded;
     return answer;
 }
 
--- a/review/rig-3/Rig.h
+++ b/review/rig-3/Rig.h
@@ -72,6 +72,8 @@
     Headers headers;
     std::string body;
     bool isComplete = false;
+    /// Whether the peer closed or reset the connection before the answer was complete.
+    bool isClosed = false;
 };
 
 /// One TCP connection, with the bytes that were received and not used yet.
@@ -101,6 +103,7 @@
 
     int descriptor;
     std::string buffer;
+    bool isEnded = false;
 };
 
 /// Listener on a free loopback port that serves each connection on a thread of its own.
--- a/review/rig-3/cases/CrashOnTrace.cpp
+++ b/review/rig-3/cases/CrashOnTrace.cpp
@@ -31,7 +31,7 @@
                                ", sent to entry ",
                                i + 1,
                                ": ",
-                               (answer.status == 0 ? "closed without an answer" : "answer " + std::to_string(answer.status)));
+                               (answer.status == 0 ? "no answer" : "answer " + std::to_string(answer.status)));
         pause(std::chrono::seconds(2));
     }
     const int cuts = load.stop();
