Relay changes of the store within one era only

Cause: positions in the stream between instances were revisions without their era. A hub confirmed a follower's copy with the follower's own revision, also where its own was lower; a lower revision of a hub in another era counted as confirmation; a page of the former era was applied if it ended above the copy's revision. Change: a follower names its position with the era, heartbeats and pages carry the era of the hub, and a heartbeat has the hub's own revision. Another era confirms nothing and its pages are not applied. A newer era makes the follower list the store, once for each era named. The stream goes on meanwhile. Frames and positions of releases without the era are still understood: they are of an unknown era.

--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -99,7 +99,7 @@
     this->isListDue = false;
     this->recentPages.clear();
     // A long list is read in several calls, and its revision is that of the first.
-    this->confirm(this->position->revision, sentAt);
+    this->confirm(*this->position, sentAt);
 }
 
 // Registrations that the copy lacks are written again, as after an outage in which they expired.
@@ -146,7 +146,7 @@
     }
     this->readsNextFromStore = false;
     this->applyPage(page.value());
-    this->confirm(this->position->revision, this->storeAnsweredAt);
+    this->confirm(*this->position, this->storeAnsweredAt);
     if (!page.value().changes.empty()) {
         co_await this->pause(this->state.catalogLimits().changePause);
     }
@@ -162,13 +162,21 @@
     return this->state.freshness[this->kind];
 }
 
-void CatalogFollower::confirm(CatalogRevision storeRevision, MonotonicTime time)
+void CatalogFollower::confirm(const CatalogPosition &storePosition, MonotonicTime time)
 {
-    if (this->position && this->position->revision >= storeRevision) {
+    if (this->position && includesChangesUpTo(*this->position, storePosition)) {
         this->freshness().confirmedAt = std::max(this->freshness().confirmedAt, time);
     }
 }
 
+void CatalogFollower::recordHubEra(std::optional<StoreEra> era)
+{
+    if (this->position && era > this->position->era && era > this->hubEra) {
+        this->hubEra = era;
+        this->isListDue = true;
+    }
+}
+
 Asio::awaitable<void> CatalogFollower::pause(Duration duration)
 {
     Asio::steady_timer timer(this->context, duration);
@@ -189,9 +197,9 @@
     return this->kind;
 }
 
-std::optional<CatalogRevision> CatalogFollower::currentRevision() const
+const std::optional<CatalogPosition> &CatalogFollower::currentPosition() const
 {
-    return this->position ? std::optional(this->position->revision) : std::nullopt;
+    return this->position;
 }
 
 MonotonicTime CatalogFollower::lastStoreAnswerTime() const
@@ -227,13 +235,17 @@
     this->readsNextFromStore = true;
 }
 
-bool CatalogFollower::applyRelayed(const HistoryPage &page)
+bool CatalogFollower::applyRelayed(const HistoryPage &page, std::optional<StoreEra> era)
 {
     // Changes that are relayed during a list may be older or newer than it.
     if (this->needsList()) {
         this->readsNextFromStore = true;
         return true;
     }
+    // A hub that has not noticed the store's return from a copy yet goes on in the former era.
+    if (era != this->position->era) {
+        return true;
+    }
     if (page.from > this->position->revision) {
         // The call to the store that is due returns the changes before this page and the page itself.
         return this->readsNextFromStore;
--- a/Libraries/LibEntry/CatalogFollower.h
+++ b/Libraries/LibEntry/CatalogFollower.h
@@ -24,8 +24,8 @@
     void stop();
 
     CatalogKind objectKind() const;
-    /// Revision up to which changes were applied; empty before the first list.
-    std::optional<CatalogRevision> currentRevision() const;
+    /// Position up to which changes were applied; empty before the first list.
+    const std::optional<CatalogPosition> &currentPosition() const;
     /// Time of the last successful answer from the store itself, not from a relay.
     MonotonicTime lastStoreAnswerTime() const;
     /// Whether the store itself answered so recently that other instances may rely on this copy.
@@ -35,10 +35,12 @@
     void setSource(CatalogSource source);
     /// Reads the next changes from the store itself, since the hub does not relay them.
     void readNextFromStore();
-    /// Applies a page relayed by another instance. Returns false if the page is malformed or earlier changes are missing.
-    bool applyRelayed(const HistoryPage &page);
-    /// Records that the store had no change after `storeRevision` at the given time. Has no effect if this copy is not that recent.
-    void confirm(CatalogRevision storeRevision, MonotonicTime time);
+    /// Applies a page of an era that another instance relayed. Returns false if the page is malformed or earlier changes are missing.
+    bool applyRelayed(const HistoryPage &page, std::optional<StoreEra> era);
+    /// Records that the store had no change after `storePosition` at the given time. Has no effect if this copy is not that recent.
+    void confirm(const CatalogPosition &storePosition, MonotonicTime time);
+    /// Records the era in which a hub reads the store. If it is newer than the copy's, the store is listed next.
+    void recordHubEra(std::optional<StoreEra> era);
 
 private:
     /// Whether the copy lacks changes that no watch from its position returns.
@@ -65,6 +67,8 @@
     std::optional<CatalogPosition> position;
     /// Whether the next call lists the objects, since the store does not have the changes after `position`.
     bool isListDue = false;
+    /// Newest era that a hub named; it causes one list only.
+    std::optional<StoreEra> hubEra;
     MonotonicTime storeAnsweredAt;
     CatalogHistory recentPages;
     CatalogSource source = CatalogSource::Store;
--- a/Libraries/LibEntry/CatalogRelay.cpp
+++ b/Libraries/LibEntry/CatalogRelay.cpp
@@ -36,12 +36,33 @@
     co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
 }
 
+/// Stands between the revision and the era of a position.
+constexpr char eraSeparator = '-';
+
+/// Writes the revision, and the era if it is known.
+std::string positionText(const CatalogPosition &position)
+{
+    const std::string revision = std::to_string(position.revision);
+    return position.era ? revision + eraSeparator + std::to_string(*position.era) : revision;
+}
+
+CatalogPosition parsePosition(const std::string &text)
+{
+    CatalogPosition position;
+    char *end = nullptr;
+    position.revision = std::strtoull(text.c_str(), &end, 10);
+    if (*end == eraSeparator) {
+        position.era = std::strtoull(end + 1, nullptr, 10);
+    }
+    return position;
+}
+
 std::string relayTarget(const std::vector<CatalogFollower *> &followers)
 {
     std::string text = relayPath;
     char separator = '?';
     for (const CatalogFollower *follower : followers) {
-        text += separator + std::string(catalogKindName(follower->objectKind())) + "=" + std::to_string(*follower->currentRevision());
+        text += separator + std::string(catalogKindName(follower->objectKind())) + "=" + positionText(*follower->currentPosition());
         separator = '&';
     }
     return text;
@@ -73,7 +94,7 @@
 {
     while (true) {
         const bool isListed = std::all_of(
-            this->followers.begin(), this->followers.end(), [](const CatalogFollower *follower) { return follower->currentRevision().has_value(); });
+            this->followers.begin(), this->followers.end(), [](const CatalogFollower *follower) { return follower->currentPosition().has_value(); });
         const auto hub = isListed ? this->chooseHub() : std::nullopt;
         if (hub) {
             co_await this->follow(*hub);
@@ -128,16 +149,17 @@
         if (follower->objectKind() != frame.kind) {
             continue;
         }
+        follower->recordHubEra(frame.era);
         switch (frame.type) {
         case RelayFrame::Type::Alive:
-            follower->confirm(frame.revision, monotonicNow() - frame.storeAnswerAge);
+            follower->confirm({frame.era, frame.revision}, monotonicNow() - frame.storeAnswerAge);
             return FrameResult::Accepted;
         case RelayFrame::Type::Withheld:
             logEvent(LogLevel::Info, "relay.withheld", {{"kind", catalogKindName(frame.kind)}});
             follower->readNextFromStore();
             return FrameResult::Accepted;
         case RelayFrame::Type::Page:
-            return follower->applyRelayed(frame.page) ? FrameResult::Accepted : FrameResult::Refused;
+            return follower->applyRelayed(frame.page, frame.era) ? FrameResult::Accepted : FrameResult::Refused;
         }
     }
     return FrameResult::Refused;
@@ -164,9 +186,9 @@
 {
     std::vector<RelayPosition> positions;
     for (CatalogFollower *follower : this->followers) {
-        const std::string revision = queryValue(request.target, catalogKindName(follower->objectKind()));
-        if (!revision.empty()) {
-            positions.push_back({follower, std::strtoull(revision.c_str(), nullptr, 10), MonotonicTime()});
+        const std::string position = queryValue(request.target, catalogKindName(follower->objectKind()));
+        if (!position.empty()) {
+            positions.push_back({follower, parsePosition(position), MonotonicTime()});
         }
     }
     return positions;
@@ -175,16 +197,21 @@
 std::string CatalogRelay::pageFrames(RelayPosition &position) const
 {
     const CatalogFollower &follower = *position.follower;
-    const CatalogRevision current = *follower.currentRevision();
-    if (position.revision >= current) {
+    const CatalogPosition current = *follower.currentPosition();
+    if (position.sent.era != current.era) {
+        // The heartbeat names the newer era, and the follower lists the store. A follower of a newer era waits for this instance.
+        position.sent = std::max(position.sent, current);
+        return {};
+    }
+    if (position.sent.revision >= current.revision) {
         return {};
     }
-    const auto pages = follower.history().since(position.revision);
+    const auto pages = follower.history().since(position.sent.revision);
     std::string output;
     // This instance's own history may have a gap, since it applied the changes that it received from a hub without keeping them.
     if (!pages || pages->empty()) {
         output = formatServerSentEvent(encodeRelayFrame({RelayFrame::Type::Withheld, follower.objectKind(), {}}));
-        position.revision = current;
+        position.sent = current;
         return output;
     }
     for (const HistoryPage &page : *pages) {
@@ -192,9 +219,10 @@
         RelayFrame frame {isTooLarge ? RelayFrame::Type::Withheld : RelayFrame::Type::Page, follower.objectKind(), {}};
         if (!isTooLarge) {
             frame.page = page;
+            frame.era = current.era;
         }
         output += formatServerSentEvent(encodeRelayFrame(frame));
-        position.revision = page.to;
+        position.sent.revision = page.to;
     }
     return output;
 }
@@ -208,7 +236,9 @@
     position.confirmedAt = answeredAt;
     RelayFrame frame;
     frame.kind = position.follower->objectKind();
-    frame.revision = position.revision;
+    // The store's answer was given at this instance's position, which a follower may be ahead of.
+    frame.era = position.follower->currentPosition()->era;
+    frame.revision = position.follower->currentPosition()->revision;
     frame.storeAnswerAge = now - answeredAt;
     return formatServerSentEvent(encodeRelayFrame(frame));
 }
--- a/Libraries/LibEntry/CatalogRelay.h
+++ b/Libraries/LibEntry/CatalogRelay.h
@@ -39,7 +39,7 @@
     /// Position of one kind in the stream to a follower.
     struct RelayPosition {
         CatalogFollower *follower = nullptr;
-        CatalogRevision revision = 0;
+        CatalogPosition sent;
         /// Time of the last store answer that the follower was told of.
         MonotonicTime confirmedAt;
     };
--- a/Libraries/LibGateway/CatalogHistory.cpp
+++ b/Libraries/LibGateway/CatalogHistory.cpp
@@ -62,6 +62,9 @@
         json.push_back(frame.page.to);
         json.push_back(replaceInvalidUtf8(frame.page.body, unreadableByte));
     }
+    if (frame.era) {
+        json.push_back(*frame.era);
+    }
     return json.dump();
 }
 
@@ -70,6 +73,8 @@
     const auto json = nlohmann::json::parse(text, nullptr, false);
     try {
         RelayFrame frame;
+        // The era is the last item, which a frame without one lacks.
+        std::size_t eraIndex = 2;
         const int type = json.at(0).get<int>();
         const int kind = json.at(1).get<int>();
         if (type < static_cast<int>(RelayFrame::Type::Alive) || type > static_cast<int>(RelayFrame::Type::Withheld)
@@ -85,9 +90,17 @@
                 return std::nullopt;
             }
             frame.storeAnswerAge = std::chrono::milliseconds(age);
+            eraIndex = 4;
         }
         if (frame.type == RelayFrame::Type::Page) {
             frame.page = {json.at(2).get<CatalogRevision>(), json.at(3).get<CatalogRevision>(), json.at(4).get<std::string>()};
+            eraIndex = 5;
+        }
+        if (json.size() > eraIndex) {
+            if (!json.at(eraIndex).is_number_unsigned()) {
+                return std::nullopt;
+            }
+            frame.era = json.at(eraIndex).get<StoreEra>();
         }
         return frame;
     } catch (const std::exception &) {
--- a/Libraries/LibGateway/CatalogHistory.h
+++ b/Libraries/LibGateway/CatalogHistory.h
@@ -10,7 +10,7 @@
 namespace Godwitfork
 {
 
-/// Changes after revision `from` up to revision `to`, as the store's answer to a watch.
+/// Changes after revision `from` up to revision `to` of one era, as the store's answer to a watch.
 struct HistoryPage {
     CatalogRevision from = 0;
     CatalogRevision to = 0;
@@ -19,7 +19,7 @@
     auto operator<=>(const HistoryPage &) const = default;
 };
 
-/// Latest changes of one catalog kind, relayed to instances that cannot reach the store.
+/// Latest changes of one catalog kind in one era, relayed to instances that cannot reach the store.
 class CatalogHistory
 {
 public:
@@ -43,7 +43,7 @@
 /// One message of the stream that relays catalog changes to another instance.
 struct RelayFrame {
     enum class Type {
-        /// Heartbeat: the store had no change after `revision` when it last answered the sender, `storeAnswerAge` ago.
+        /// Heartbeat: the store had no change after `revision` of `era` when it last answered the sender, `storeAnswerAge` ago.
         Alive,
         Page,
         /// The sender has changes that it cannot relay; the receiver reads them from the store.
@@ -56,6 +56,8 @@
     CatalogRevision revision = 0;
     /// Sent in milliseconds.
     Duration storeAnswerAge = Duration::zero();
+    /// Era of a heartbeat's or page's revisions; empty if it is unknown.
+    std::optional<StoreEra> era = std::nullopt;
 
     auto operator<=>(const RelayFrame &) const = default;
 };
--- a/Tests/LibGateway/TestCatalogHistory.cpp
+++ b/Tests/LibGateway/TestCatalogHistory.cpp
@@ -39,9 +39,16 @@
     CHECK(decodeRelayFrame(encodeRelayFrame(RelayFrame())) == RelayFrame());
     const RelayFrame alive {RelayFrame::Type::Alive, CatalogKind::Configuration, {}, 17, std::chrono::milliseconds(250)};
     CHECK(decodeRelayFrame(encodeRelayFrame(alive)) == alive);
+    RelayFrame inEra = alive;
+    inEra.era = 2;
+    CHECK(decodeRelayFrame(encodeRelayFrame(inEra)) == inEra);
+    RelayFrame pageInEra = frame;
+    pageInEra.era = 3;
+    CHECK(decodeRelayFrame(encodeRelayFrame(pageInEra)) == pageInEra);
     const RelayFrame evacuations {RelayFrame::Type::Page, CatalogKind::Evacuations, {3, 9, "{}"}};
     CHECK(decodeRelayFrame(encodeRelayFrame(evacuations)) == evacuations);
-    for (const std::string text : {"", "[]", "[9,0]", "[0,9]", "[0,4,1,1]", "[0,1]", "[0,1,7]", "[1,0,1]", "{}", "[1,0,\"x\",2,\"y\"]"}) {
+    for (const std::string text :
+         {"", "[]", "[9,0]", "[0,9]", "[0,4,1,1]", "[0,1]", "[0,1,7]", "[1,0,1]", "{}", "[1,0,\"x\",2,\"y\"]", "[0,1,7,0,\"x\"]", "[0,1,7,0,-1]"}) {
         CHECK_FALSE(decodeRelayFrame(text));
     }
 }
