Ask for a key where the list of accounts is empty

Cause: a configuration had one list for 'no accounts' and 'no list of accounts', and the check of the head asked for a key only if the list was not empty. Ruled out: a late configuration (each instance had adopted version 2). Change: the configuration states whether it requires a key. Why it works: the check no longer depends on the number of accounts; without the list no key is asked for, as before.

--- a/Libraries/LibEntry/BodyAdmission.cpp
+++ b/Libraries/LibEntry/BodyAdmission.cpp
@@ -47,7 +47,7 @@
     if (!check.route) {
         return refused(check, 404, "route_not_found");
     }
-    if (!check.route->isPublic && !state.routes->configuration().accounts.empty()) {
+    if (!check.route->isPublic && state.routes->configuration().requiresKey) {
         check.account = state.routes->findAccount(gatewayRequest.key);
         if (!check.account) {
             return refused(check, 401, "key_not_known");
--- a/Libraries/LibGateway/RouteConfiguration.cpp
+++ b/Libraries/LibGateway/RouteConfiguration.cpp
@@ -35,8 +35,15 @@
     return *this;
 }
 
+RouteConfigurationBuilder &RouteConfigurationBuilder::requireKey()
+{
+    this->configuration.requiresKey = true;
+    return *this;
+}
+
 RouteConfigurationBuilder &RouteConfigurationBuilder::addAccount(ClientAccount account)
 {
+    this->requireKey();
     this->configuration.accounts.push_back(std::move(account));
     return *this;
 }
--- a/Libraries/LibGateway/RouteConfiguration.h
+++ b/Libraries/LibGateway/RouteConfiguration.h
@@ -128,7 +128,8 @@
     ConfigurationVersion version = 0;
     std::vector<Route> routes;
     std::vector<ServiceProperties> services;
-    /// Client accounts; if there are none, requests need no key.
+    /// Whether requests on routes that are not public need the key of an account. An empty list of accounts admits no key.
+    bool requiresKey = false;
     std::vector<ClientAccount> accounts;
     CallerLimits limits;
 
@@ -143,6 +144,9 @@
 
     RouteConfigurationBuilder &addRoute(Route route);
     RouteConfigurationBuilder &addService(ServiceProperties service);
+    /// Makes requests need the key of an account, also if no account is added.
+    RouteConfigurationBuilder &requireKey();
+    /// Adds an account; requests then need a key.
     RouteConfigurationBuilder &addAccount(ClientAccount account);
     RouteConfigurationBuilder &setLimits(const CallerLimits &limits);
     std::shared_ptr<const RouteConfiguration> build();
--- a/Tests/Platform/TestCatalogDecoder.cpp
+++ b/Tests/Platform/TestCatalogDecoder.cpp
@@ -75,6 +75,21 @@
     CHECK(*std::get<std::shared_ptr<const RouteConfiguration>>(*Platform::decodeConfigurationSource(change.source).object) == configuration);
 }
 
+TEST_CASE("An empty list of accounts makes requests need a key, and a configuration without the list does not", "[platform]")
+{
+    // Guards against ROUTE (review/13): a list that was there and empty was read like one that is absent.
+    nlohmann::json object = configurationObject();
+    const auto configuration = [&] {
+        return *std::get<std::shared_ptr<const RouteConfiguration>>(*Platform::decodeObject(CatalogKind::Configuration, object).object);
+    };
+    CHECK(configuration().requiresKey);
+    object["spec"]["tenants"] = nlohmann::json::array();
+    CHECK(configuration().requiresKey);
+    CHECK(configuration().accounts.empty());
+    object["spec"].erase("tenants");
+    CHECK_FALSE(configuration().requiresKey);
+}
+
 TEST_CASE("The home regions of routes and accounts are decoded, and malformed ones make the configuration not understood", "[platform]")
 {
     // Guards against HOME: a restriction that is not understood must not be taken for none.
