Let no request without a key in by an empty key

What callers would have seen: with an empty key in an account's list, requests without a key ran as that account's. Cause: the index of keys held the empty key, and a request without a key is looked up with it. Change: the index leaves empty keys out. Why it works: no account is found for the empty key; the account's other keys admit as before.

--- a/Libraries/LibGateway/RouteTable.cpp
+++ b/Libraries/LibGateway/RouteTable.cpp
@@ -16,7 +16,10 @@
     }
     for (const ClientAccount &account : this->routes->accounts) {
         for (const std::string &key : account.keys) {
-            this->byKey.emplace(key, &account);
+            // A request without a key has the empty one.
+            if (!key.empty()) {
+                this->byKey.emplace(key, &account);
+            }
         }
     }
     for (const ServiceProperties &service : this->routes->services) {
--- a/Libraries/LibGateway/RouteTable.h
+++ b/Libraries/LibGateway/RouteTable.h
@@ -18,7 +18,7 @@
     const RouteConfiguration &configuration() const;
     /// Returns the host's route whose prefix of the path is the longest; null if none matches.
     const Route *findRoute(std::string_view host, std::string_view path) const;
-    /// Returns the account with the API key; null for an unknown key.
+    /// Returns the account with the API key; null for an unknown or empty key.
     const ClientAccount *findAccount(const std::string &key) const;
     /// Returns the properties of a service; null for an unknown name.
     const ServiceProperties *findService(const std::string &name) const;
--- a/Tests/LibEntry/TestAccounts.cpp
+++ b/Tests/LibEntry/TestAccounts.cpp
@@ -83,3 +83,14 @@
         CHECK(fixture.sendWith(authorization) == 401);
     }
 }
+
+TEST_CASE("An empty key of an account lets no request without a key in", "[accounts]")
+{
+    // Guards against ROUTE: a request without a key was taken for one with the empty key.
+    AccountFixture fixture;
+    fixture.change(2, nlohmann::json::array({{{"name", "a"}, {"apiKeys", {"", "key-a"}}}}));
+    CHECK(fixture.sendWith(issuedKey) == 200);
+    for (const std::string authorization : {"", "Bearer", "Bearer ", "Basic a2V5"}) {
+        CHECK(fixture.sendWith(authorization) == 401);
+    }
+}
