--- a/Tests/LibEntry/TestAccounts.cpp
+++ b/Tests/LibEntry/TestAccounts.cpp
@@ -10,6 +10,8 @@
 constexpr const char *issuedKey = "Bearer key-a";
 constexpr const char *unknownKey = "Bearer never-issued";
 constexpr Duration startTime = 500ms;
+/// Time in which an entry that is up to date reads one more change.
+constexpr Duration stepTime = 200ms;
 
 /// A store with an endpoint and a configuration with one account, and an entry.
 struct AccountFixture : StoreFixture {
@@ -94,3 +96,28 @@
         CHECK(fixture.sendWith(authorization) == 401);
     }
 }
+
+TEST_CASE("A configuration whose lists are of another type is not adopted", "[accounts]")
+{
+    // Guards against ROUTE and wrong 404s: null or an object passed for an empty list of accounts or routes.
+    AccountFixture fixture;
+    const nlohmann::json sound = fixture.store.object("config", "main").at("spec");
+    std::size_t version = 1;
+    for (const std::string field : {"tenants", "routes", "services"}) {
+        for (const nlohmann::json &value : {nlohmann::json(), nlohmann::json::object(), nlohmann::json(false), nlohmann::json("key-a")}) {
+            INFO(field << ": " << value);
+            nlohmann::json spec = sound;
+            spec["version"] = ++version;
+            spec[field] = value;
+            fixture.store.put("config", "main", spec);
+            fixture.run(stepTime);
+            CHECK(fixture.sendWith(issuedKey) == 200);
+            CHECK(fixture.sendWith(unknownKey) == 401);
+            const EntryState &state = fixture.instance->relayed.state;
+            CHECK(state.routes->configuration().version == 1);
+            CHECK(state.ignoredItems.counts().at({"configuration", "wrong_type"}) == version - 1);
+        }
+    }
+    fixture.change(static_cast<int>(++version), accountList({"b"}));
+    CHECK(fixture.sendWith(issuedKey) == 401);
+}
