Keep evacuations that the store's copy lacks until they are written again

What callers would have seen (EVAC): after the store's return from a copy, an evacuation written since that copy ended at once, and requests went to its endpoints until the operator had written it again. Cause: the list after the return replaced the evacuations, as one after lost history does. The copy lacks what its owner is about to write again. Change: after a return, evacuations that the list lacks are kept for 10 s; then the kind is listed once more, if any were kept, and that list replaces them. Why it works: an evacuation that its owner writes again is never interrupted, and one that it does not write again ends with the second list. The test's fixture follows evacuations, so the case of a store that stays in its era checks that this kind is listed once, too.

--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -130,22 +130,30 @@
         setEvacuated(state, change.name, change.object.has_value(), now);
     }
 }
+
+std::vector<std::string> namesMissingFrom(const CatalogPage &page, std::set<std::string> names)
+{
+    for (const CatalogChange &change : page.changes) {
+        names.erase(change.name);
+    }
+    return {names.begin(), names.end()};
+}
 } // namespace
 
-void applyEvacuationList(EntryState &state, const CatalogPage &page, MonotonicTime now)
+bool applyEvacuationList(EntryState &state, const CatalogPage &page, MonotonicTime now, MissingObjects missing)
 {
-    std::set<std::string> listed;
     for (const CatalogChange &change : page.changes) {
         applyCatalogChange(state, CatalogKind::Evacuations, change, {}, now);
-        listed.insert(change.name);
-    }
-    const std::set<std::string> before = state.failureDomains.evacuated;
-    for (const std::string &failureDomain : before) {
-        if (!listed.contains(failureDomain)) {
-            setEvacuated(state, failureDomain, false, now);
-        }
     }
     state.evacuationsKnown = true;
+    const std::vector<std::string> absent = namesMissingFrom(page, state.failureDomains.evacuated);
+    if (missing == MissingObjects::Keep) {
+        return !absent.empty();
+    }
+    for (const std::string &failureDomain : absent) {
+        setEvacuated(state, failureDomain, false, now);
+    }
+    return false;
 }
 
 void applyEndpointList(EntryState &state, const CatalogPage &page, SnapshotTrust trust, MonotonicTime now)
--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -30,6 +30,8 @@
 constexpr Duration maxBackoff = std::chrono::milliseconds(800);
 /// Failures at most this long are interrupted watches, during which no registration expires.
 constexpr Duration outageThreshold = std::chrono::milliseconds(1500);
+/// Time within which operators write again what the copy lacks from which the store returned.
+constexpr Duration rewriteTime = std::chrono::seconds(10);
 
 nlohmann::ordered_json eraField(std::optional<StoreEra> era)
 {
@@ -73,7 +75,8 @@
 // but without the changes below it.
 bool CatalogFollower::needsList() const
 {
-    return !this->position || this->isListDue || this->position->era != this->client.era();
+    const bool isRewriteOver = this->rewriteEndsAt && !this->isRewritePending();
+    return !this->position || this->isListDue || isRewriteOver || this->position->era != this->client.era();
 }
 
 Asio::awaitable<void> CatalogFollower::listOnce()
@@ -102,10 +105,11 @@
     this->confirm(*this->position, sentAt);
 }
 
-// Registrations that the copy lacks are written again, as after an outage in which they expired.
+// What the copy lacks is written again: registrations as after an outage in which they expired, and what operators wrote.
 void CatalogFollower::recordRestore(const CatalogPage &page)
 {
     this->outageEndedAt = monotonicNow();
+    this->rewriteEndsAt = monotonicNow() + rewriteTime;
     logEvent(LogLevel::Warning,
              "store.restored",
              {{"kind", catalogKindName(this->kind)},
@@ -309,21 +313,37 @@
     return {this->outageEndedAt};
 }
 
+bool CatalogFollower::isRewritePending() const
+{
+    return this->rewriteEndsAt && monotonicNow() < *this->rewriteEndsAt;
+}
+
 void CatalogFollower::applyList(const CatalogPage &page)
 {
-    if (this->kind == CatalogKind::Endpoints) {
-        applyEndpointList(this->state, page, this->trust(), monotonicNow());
-        return;
-    }
-    if (this->kind == CatalogKind::Evacuations) {
-        applyEvacuationList(this->state, page, monotonicNow());
-        return;
-    }
-    for (const CatalogChange &change : page.changes) {
-        this->applyChange(change);
-    }
-    if (this->kind == CatalogKind::Rollouts) {
+    const MonotonicTime now = monotonicNow();
+    const MissingObjects missing = this->isRewritePending() ? MissingObjects::Keep : MissingObjects::Remove;
+    bool isAnyKept = false;
+    switch (this->kind) {
+    case CatalogKind::Configuration:
+        for (const CatalogChange &change : page.changes) {
+            this->applyChange(change);
+        }
+        break;
+    case CatalogKind::Endpoints:
+        applyEndpointList(this->state, page, this->trust(), now);
+        break;
+    case CatalogKind::Rollouts:
+        for (const CatalogChange &change : page.changes) {
+            this->applyChange(change);
+        }
         this->state.rolloutsKnown = true;
+        break;
+    case CatalogKind::Evacuations:
+        isAnyKept = applyEvacuationList(this->state, page, now, missing);
+        break;
+    }
+    if (!isAnyKept) {
+        this->rewriteEndsAt.reset();
     }
 }
 
--- a/Libraries/LibEntry/CatalogFollower.h
+++ b/Libraries/LibEntry/CatalogFollower.h
@@ -56,6 +56,8 @@
     boost::asio::awaitable<void> waitForProbe();
     SnapshotTrust trust() const;
     void recordRestore(const CatalogPage &page);
+    /// Whether objects that a list lacks may be missing only from the copy from which the store returned.
+    bool isRewritePending() const;
     void applyList(const CatalogPage &page);
     void applyChange(const CatalogChange &change);
 
@@ -78,6 +80,8 @@
     std::optional<MonotonicTime> failingSince;
     Duration backoff;
     std::optional<MonotonicTime> outageEndedAt;
+    /// End of the time in which objects that the store's copy lacks are kept; empty if there are none.
+    std::optional<MonotonicTime> rewriteEndsAt;
     bool stopped = false;
 };
 
--- a/Tests/LibEntry/EvacuationFixture.h
+++ b/Tests/LibEntry/EvacuationFixture.h
@@ -204,10 +204,10 @@
     }
 
     EntryState state;
+    Platform::CatalogClient catalog;
     int lostHubs = 0;
 
 private:
-    Platform::CatalogClient catalog;
     HttpServer ownRelay;
     std::vector<std::unique_ptr<CatalogFollower>> followers;
     std::unique_ptr<CatalogRelay> relay;
--- a/Tests/LibEntry/StoreFixture.cpp
+++ b/Tests/LibEntry/StoreFixture.cpp
@@ -13,6 +13,7 @@
 {
 const HttpAddress anyPort {"127.0.0.1", 0};
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
+constexpr Duration serviceTime = std::chrono::milliseconds(20);
 
 EntrySettings instanceSettings()
 {
@@ -20,6 +21,8 @@
     settings.failureDomain = "a";
     settings.drainLimit = changeLimit;
     settings.configurationLimit = changeLimit;
+    settings.evacuationLimit = changeLimit;
+    settings.peers = anyPort;
     settings.retryRatio = 1;
     return settings;
 }
@@ -37,6 +40,8 @@
                                  EntrySettings settings,
                                  std::function<std::optional<HttpAddress>()> chooseHub)
     : relayed(context, client, store, std::move(settings), std::move(chooseHub))
+    , peers(context, client, this->relayed.state)
+    , rollouts(context, this->relayed.state, this->metrics, this->relayed.catalog, this->peers)
     , requestContext {context, this->relayed.state, client, this->metrics}
     , callers(
           context,
@@ -60,33 +65,37 @@
     this->instances.push_back(std::make_unique<ServingInstance>(this->context, this->client, this->store.address(), instanceSettings(), chooseHub));
     ServingInstance &instance = *this->instances.back();
     Asio::co_spawn(
-        this->context, [this, &instance] { return this->expireEndpointsOf(instance); }, Asio::detached);
+        this->context, [this, &instance] { return this->runPeriodicTasks(instance); }, Asio::detached);
     return instance;
 }
 
-Asio::awaitable<void> StoreFixture::expireEndpointsOf(ServingInstance &instance)
+Asio::awaitable<void> StoreFixture::runPeriodicTasks(ServingInstance &instance)
 {
     while (true) {
         co_await pause(tickInterval);
         expireEndpoints(instance.relayed.state, monotonicNow());
+        instance.rollouts.tick(monotonicNow());
     }
 }
 
-void StoreFixture::addEndpoint(const std::string &id)
+void StoreFixture::addEndpoint(const std::string &id, const std::string &version)
 {
     Endpoint &endpoint = this->endpoints[id];
+    endpoint.version = version;
     endpoint.server = std::make_unique<HttpServer>(
-        this->context, anyPort, HttpServerLimits {}, [this](HttpExchange &exchange) { return this->serveEndpoint(exchange); }, refuseConnection);
+        this->context, anyPort, HttpServerLimits {}, [this, id](HttpExchange &exchange) { return this->serveEndpoint(id, exchange); }, refuseConnection);
     endpoint.server->start();
     this->registerEndpoint(id);
 }
 
-Asio::awaitable<void> StoreFixture::serveEndpoint(HttpExchange &exchange)
+Asio::awaitable<void> StoreFixture::serveEndpoint(std::string id, HttpExchange &exchange)
 {
+    this->endpointsOfRuns.push_back(std::move(id));
     this->accountsOfRuns.push_back(headerValue(exchange.request().headers, "X-Tenant"));
     HttpResponse response;
     response.headers = validAnswerHeaders(exchange);
     response.body = "done";
+    co_await pause(serviceTime);
     co_await exchange.respond(std::move(response));
 }
 
@@ -99,7 +108,7 @@
                     {{"service", "pool"},
                      {"address", toText(endpoint.server->address())},
                      {"zone", "a"},
-                     {"version", "v1"},
+                     {"version", endpoint.version},
                      {"slots", 8},
                      {"state", state},
                      {"coldRemainingMs", 0},
@@ -126,6 +135,15 @@
     this->store.put("config", "main", std::move(spec));
 }
 
+void StoreFixture::orderRollout(const std::string &target, const std::string &state)
+{
+    constexpr int durationSeconds = 600;
+    this->store.put("rollouts", "pool", {{"service", "pool"}, {"target", target}, {"durationS", durationSeconds}});
+    if (!state.empty()) {
+        this->store.putStatus("rollouts", "pool", {{"state", state}, {"target", target}});
+    }
+}
+
 void StoreFixture::raiseRevision(std::uint64_t revision)
 {
     while (this->store.revision() < revision) {
@@ -140,20 +158,27 @@
 
 int StoreFixture::send(ServingInstance &instance, const std::string &authorization)
 {
-    HttpHeaders headers = callerHeaders("request-" + std::to_string(++this->sent));
-    if (!authorization.empty()) {
-        headers.push_back({"Authorization", authorization});
-    }
-    std::optional<int> status;
-    auto call = [&, address = instance.callers.address()]() -> Asio::awaitable<void> {
-        const auto answer = co_await this->client.call(address, makeRequest("POST", "/a/b", "body", headers), {});
-        status = answer ? answer.value().status : 0;
+    return this->sendTogether(instance, authorization, 1).front();
+}
+
+std::vector<int> StoreFixture::sendTogether(ServingInstance &instance, const std::string &authorization, std::size_t count)
+{
+    std::vector<int> statuses;
+    auto call = [&, address = instance.callers.address()](HttpHeaders headers) -> Asio::awaitable<void> {
+        const auto answer = co_await this->client.call(address, makeRequest("POST", "/a/b", "body", std::move(headers)), {});
+        statuses.push_back(answer ? answer.value().status : 0);
     };
-    Asio::co_spawn(this->context, std::move(call), Asio::detached);
-    while (!status) {
+    for (std::size_t i = 0; i < count; ++i) {
+        HttpHeaders headers = callerHeaders("request-" + std::to_string(++this->sent));
+        if (!authorization.empty()) {
+            headers.push_back({"Authorization", authorization});
+        }
+        Asio::co_spawn(this->context, call(std::move(headers)), Asio::detached);
+    }
+    while (statuses.size() < count) {
         this->context.run_one();
     }
-    return *status;
+    return statuses;
 }
 
 nlohmann::json accountList(const std::vector<std::string> &names)
--- a/Tests/LibEntry/TestStoreRestore.cpp
+++ b/Tests/LibEntry/TestStoreRestore.cpp
@@ -156,7 +156,7 @@
         fixture.run(startTime);
     }
     CHECK(fixture.send(follower, keptKey) == 200);
-    for (const std::string kind : {"config", "servers", "rollouts"}) {
+    for (const std::string kind : {"config", "servers", "rollouts", "evacuations"}) {
         CHECK(fixture.store.lists[kind] == 2);
     }
 }
--- /dev/null
+++ b/Tests/LibEntry/TestStoreRestoreOrders.cpp
@@ -0,0 +1,95 @@
+#include "StoreFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace Godwitfork;
+using namespace std::chrono_literals;
+namespace Asio = boost::asio;
+
+namespace
+{
+constexpr const char *key = "Bearer key-a";
+constexpr Duration startTime = 500ms;
+/// Longer than operators need to write again what the store's copy lacks.
+constexpr Duration rewriteTime = 11s;
+constexpr std::size_t requestCount = 20;
+
+/// A store with a configuration, an endpoint of version v1, and an entry that has read them.
+struct OrderFixture : StoreFixture {
+    OrderFixture()
+    {
+        this->configure(1, accountList({"a"}));
+        this->addEndpoint("e1");
+        this->instance = &this->addInstance();
+        this->run(startTime);
+    }
+
+    int send()
+    {
+        return StoreFixture::send(*this->instance, key);
+    }
+
+    /// Sends requests and returns how many of them an endpoint ran.
+    std::ptrdiff_t countRunsAt(const std::string &endpoint)
+    {
+        this->endpointsOfRuns.clear();
+        this->sendTogether(*this->instance, key, requestCount);
+        return std::count(this->endpointsOfRuns.begin(), this->endpointsOfRuns.end(), endpoint);
+    }
+
+    /// Evacuates the failure domain of all endpoints.
+    void evacuate()
+    {
+        this->store.put("evacuations", "a", nlohmann::json::object());
+    }
+
+    nlohmann::json rolloutStatus()
+    {
+        return this->store.object("rollouts", "pool").at("status");
+    }
+
+    ServingInstance *instance = nullptr;
+};
+
+template<typename T>
+T runCall(StoreFixture &fixture, Asio::awaitable<T> call)
+{
+    std::optional<T> result;
+    auto run = [&]() -> Asio::awaitable<void> { result = co_await std::move(call); };
+    Asio::co_spawn(fixture.context, run, Asio::detached);
+    while (!result) {
+        fixture.context.run_one();
+    }
+    return std::move(*result);
+}
+} // namespace
+
+TEST_CASE("An evacuation that the store's copy lacks stays in force until it had time to be written again", "[restore]")
+{
+    // Guards against EVAC: the list after the store's return ended an evacuation that the operator was about to write again.
+    OrderFixture fixture;
+    fixture.store.copy();
+    fixture.evacuate();
+    fixture.run(startTime);
+    REQUIRE(fixture.send() == 503);
+    fixture.store.restore();
+    fixture.run(changeLimit);
+    CHECK(fixture.send() == 503);
+    SECTION("it is written again, and then removed")
+    {
+        fixture.evacuate();
+        fixture.run(startTime);
+        CHECK(fixture.send() == 503);
+        fixture.store.remove("evacuations", "a");
+        fixture.run(startTime);
+    }
+    SECTION("it is not")
+    {
+        fixture.run(rewriteTime);
+        CHECK(fixture.store.lists["evacuations"] == 3);
+        CHECK(fixture.store.lists["config"] == 2);
+    }
+    CHECK(fixture.send() == 200);
+}
--- a/Tests/Soak/StoreStandIn.cpp
+++ b/Tests/Soak/StoreStandIn.cpp
@@ -67,6 +67,15 @@
     this->record(kind, false, object);
 }
 
+void StoreStandIn::putStatus(const std::string &kind, const std::string &name, nlohmann::json status)
+{
+    ++this->lastRevision;
+    nlohmann::json &object = this->objects[kind][name];
+    object["status"] = std::move(status);
+    object["metadata"]["revision"] = this->lastRevision;
+    this->record(kind, false, object);
+}
+
 void StoreStandIn::remove(const std::string &kind, const std::string &name)
 {
     ++this->lastRevision;
@@ -198,10 +207,7 @@
         response.body = known->second.dump();
         return response;
     }
-    ++this->lastRevision;
-    known->second["status"] = body.at("status");
-    known->second["metadata"]["revision"] = this->lastRevision;
-    this->record(kind, false, known->second);
+    this->putStatus(kind, name, body.at("status"));
     response.body = known->second.dump();
     return response;
 }
--- a/Tests/Soak/StoreStandIn.h
+++ b/Tests/Soak/StoreStandIn.h
@@ -27,6 +27,7 @@
     HttpAddress address() const;
     void setMode(StoreMode mode);
     void put(const std::string &kind, const std::string &name, nlohmann::json spec);
+    void putStatus(const std::string &kind, const std::string &name, nlohmann::json status);
     void remove(const std::string &kind, const std::string &name);
     /// Forgets what changed so far; watches from before are answered 410.
     void forgetHistory();
