Remove the orders of roll-outs that a list of the store lacks

What callers would have seen: an order that was removed while the store was away and forgot its history stayed in force, so a version got no requests, or a share only. Cause: a list after lost history (410) replaced endpoints and evacuations, but only added or changed orders. After a return from a copy, the same kept an order for ever that the copy lacks. Change: a list replaces the orders. 'rollout.removed' is logged. Why it works: the list is complete, so what it lacks was removed, or was lost with the copy and had time to be written again.

--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -95,6 +95,14 @@
     }
 }
 
+void removeRollout(EntryState &state, const std::string &service)
+{
+    if (state.versions.rollouts().contains(service)) {
+        state.versions.removeOrder(service);
+        logEvent(LogLevel::Info, "rollout.removed", {{"service", service}});
+    }
+}
+
 void applyRollout(EntryState &state, const CatalogChange &change, MonotonicTime now)
 {
     // An order that is no longer understood still stands.
@@ -102,7 +110,7 @@
         return;
     }
     if (!change.object) {
-        state.versions.removeOrder(change.name);
+        removeRollout(state, change.name);
         return;
     }
     const auto &order = std::get<RolloutOrder>(*change.object);
@@ -156,6 +164,26 @@
     return false;
 }
 
+bool applyRolloutList(EntryState &state, const CatalogPage &page, MonotonicTime now, MissingObjects missing)
+{
+    for (const CatalogChange &change : page.changes) {
+        applyCatalogChange(state, CatalogKind::Rollouts, change, {}, now);
+    }
+    state.rolloutsKnown = true;
+    std::set<std::string> services;
+    for (const auto &[service, rollout] : state.versions.rollouts()) {
+        services.insert(service);
+    }
+    const std::vector<std::string> absent = namesMissingFrom(page, std::move(services));
+    if (missing == MissingObjects::Keep) {
+        return !absent.empty();
+    }
+    for (const std::string &service : absent) {
+        removeRollout(state, service);
+    }
+    return false;
+}
+
 void applyEndpointList(EntryState &state, const CatalogPage &page, SnapshotTrust trust, MonotonicTime now)
 {
     std::vector<EndpointEntry> entries;
--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -333,10 +333,7 @@
         applyEndpointList(this->state, page, this->trust(), now);
         break;
     case CatalogKind::Rollouts:
-        for (const CatalogChange &change : page.changes) {
-            this->applyChange(change);
-        }
-        this->state.rolloutsKnown = true;
+        isAnyKept = applyRolloutList(this->state, page, now, missing);
         break;
     case CatalogKind::Evacuations:
         isAnyKept = applyEvacuationList(this->state, page, now, missing);
--- a/Tests/LibEntry/TestStoreRestoreOrders.cpp
+++ b/Tests/LibEntry/TestStoreRestoreOrders.cpp
@@ -93,3 +93,20 @@
     }
     CHECK(fixture.send() == 200);
 }
+
+TEST_CASE("An order that was removed while the store was away and forgot its history is no longer followed", "[restore]")
+{
+    // Guards against lost capacity: the list in place of the lost history left the removed order in force, which kept requests from a version.
+    OrderFixture fixture;
+    fixture.addEndpoint("e2", "v2");
+    fixture.orderRollout("v2", "reverted");
+    fixture.run(startTime);
+    REQUIRE(fixture.countRunsAt("e2") == 0);
+    fixture.store.setMode(StoreMode::Busy);
+    fixture.store.remove("rollouts", "pool");
+    fixture.store.forgetHistory();
+    fixture.run(startTime);
+    fixture.store.setMode(StoreMode::Up);
+    fixture.run(changeLimit);
+    CHECK(fixture.countRunsAt("e2") > 0);
+}
