Keep the end of a roll-out that the store's copy lacks

What callers would have seen (EXPOSURE, LOST): after the store's return from a copy, a roll-out that had ended was in progress again. Requests went to endpoints that the platform had stopped at 'completed', or to a version that was found bad. Cause: the state in the copy replaced the known one, whichever was later. Change: if an order is read in another era with the same target and a state before its end, the known end stays in force and is written again, by the writers that a hash orders as before. A state that the store gives in the new era, or the order's removal, ends this. Why it works: an end is final for its order and target, so a state before it is the copy's.

--- a/Libraries/LibGateway/VersionPolicy.cpp
+++ b/Libraries/LibGateway/VersionPolicy.cpp
@@ -91,7 +91,13 @@
 {
     const auto known = this->followed.find(order.service);
     if (known != this->followed.end() && known->second.order.target == order.target) {
-        known->second.order = order;
+        FollowedRollout &rollout = known->second;
+        const RolloutState before = rollout.order.state;
+        const bool mayBeEarlier = rollout.isEndUnstored || rollout.order.era != order.era;
+        rollout.isEndUnstored = mayBeEarlier && !isRunning(before) && isRunning(order.state);
+        rollout.order = order;
+        // An end is final: at it the platform stops endpoints, and a version found bad stays bad.
+        rollout.order.state = rollout.isEndUnstored ? before : order.state;
         return;
     }
     FollowedRollout rollout;
@@ -319,12 +325,14 @@
 std::optional<RolloutState> VersionPolicy::stateToWrite(const std::string &service, int stableRequestsRunning, int rank, MonotonicTime now)
 {
     const auto known = this->followed.find(service);
-    if (known == this->followed.end() || !isRunning(known->second.order.state)) {
+    if (known == this->followed.end() || !(isRunning(known->second.order.state) || known->second.isEndUnstored)) {
         return std::nullopt;
     }
     FollowedRollout &rollout = known->second;
     std::optional<RolloutState> state;
-    if (rollout.isBad) {
+    if (rollout.isEndUnstored) {
+        state = rollout.order.state;
+    } else if (rollout.isBad) {
         state = RolloutState::Reverted;
     } else if (mayComplete(this->limits(rollout), now - rollout.startedAt, stableRequestsRunning)) {
         state = RolloutState::Completed;
--- a/Libraries/LibGateway/VersionPolicy.h
+++ b/Libraries/LibGateway/VersionPolicy.h
@@ -29,6 +29,8 @@
 /// State of a roll-out in one instance.
 struct FollowedRollout {
     RolloutOrder order;
+    /// Whether the store returned from a copy with an earlier state of the order, so that the end in `order` is to be written again.
+    bool isEndUnstored = false;
     /// Earliest time at which this instance or any reporting one received the order.
     MonotonicTime startedAt;
     /// Time at which this instance received the order.
--- a/Tests/LibEntry/TestStoreRestoreOrders.cpp
+++ b/Tests/LibEntry/TestStoreRestoreOrders.cpp
@@ -111,6 +111,56 @@
     CHECK(fixture.countRunsAt("e2") > 0);
 }
 
+TEST_CASE("An order that the store's copy lacks stays in force until it had time to be written again", "[restore]")
+{
+    // Guards against EXPOSURE: the end of a roll-out that was written since the copy was forgotten, and its bad version got requests.
+    OrderFixture fixture;
+    fixture.addEndpoint("e2", "v2");
+    fixture.store.copy();
+    fixture.orderRollout("v2", "reverted");
+    fixture.run(startTime);
+    REQUIRE(fixture.countRunsAt("e2") == 0);
+    fixture.store.restore();
+    fixture.run(changeLimit);
+    CHECK(fixture.countRunsAt("e2") == 0);
+    SECTION("it is written again")
+    {
+        fixture.orderRollout("v2");
+        fixture.run(startTime);
+        CHECK(fixture.countRunsAt("e2") == 0);
+        CHECK(fixture.rolloutStatus().at("state") == "reverted");
+    }
+    SECTION("it is not")
+    {
+        fixture.run(rewriteTime);
+        CHECK(fixture.countRunsAt("e2") > 0);
+    }
+}
+
+TEST_CASE("A roll-out that has ended is not taken up again when the store returns from a copy", "[restore]")
+{
+    // Guards against EXPOSURE and LOST: the copy's state put the roll-out back to before its end, so requests went to endpoints that had stopped or to a bad
+    // version.
+    const std::string end = GENERATE("completed", "reverted");
+    const std::string other = end == "completed" ? "e1" : "e2";
+    OrderFixture fixture;
+    fixture.addEndpoint("e2", "v2");
+    fixture.orderRollout("v2", "in_progress");
+    fixture.run(startTime);
+    fixture.store.copy();
+    fixture.store.putStatus("rollouts", "pool", {{"state", end}, {"target", "v2"}});
+    fixture.run(startTime);
+    REQUIRE(fixture.countRunsAt(other) == 0);
+    fixture.store.restore();
+    fixture.run(changeLimit);
+    CHECK(fixture.countRunsAt(other) == 0);
+    CHECK(fixture.rolloutStatus() == nlohmann::json({{"state", end}, {"target", "v2"}}));
+    // The order counts as removed once the store says so in the new era.
+    fixture.store.remove("rollouts", "pool");
+    fixture.run(changeLimit);
+    CHECK(fixture.countRunsAt(other) > 0);
+}
+
 TEST_CASE("The state of a roll-out is not written under a revision of a former era", "[restore]")
 {
     // Guards against a write over another state of the order: the store gives out the same revision again.
