Keep an endpoint draining that the store's copy lists as ready

Cause: a registration replaced the known one, whichever was later. Change: an earlier registration of the same incarnation, by its sequence, doesn't end draining. Why it works: the sequence rises with each renewal of an incarnation, so a lower one is the copy's. A later registration counts as before.

--- a/Libraries/LibGateway/EndpointRegistry.cpp
+++ b/Libraries/LibGateway/EndpointRegistry.cpp
@@ -21,6 +21,12 @@
     renewed.coldRemaining = entry.coldRemaining;
     return renewed == entry;
 }
+
+/// Whether an entry is an earlier registration of the incarnation, as in a copy from which the store returned.
+bool isEarlier(const EndpointEntry &entry, const EndpointEntry &known)
+{
+    return entry.incarnation == known.incarnation && entry.sequence < known.sequence;
+}
 } // namespace
 
 EndpointKey endpointKey(std::string_view id)
@@ -87,6 +93,9 @@
     }
     Registration &registration = known->second;
     registration.removeAt.reset();
+    if (registration.entry.state == EndpointState::Draining && isEarlier(entry, registration.entry)) {
+        return {};
+    }
     registration.lastConfirmed = now;
     registration.isMarkedByPeer = false;
     if (isRenewal(entry, registration.entry)) {
--- a/Tests/LibEntry/TestStoreRestoreOrders.cpp
+++ b/Tests/LibEntry/TestStoreRestoreOrders.cpp
@@ -185,3 +185,22 @@
         CHECK(fixture.rolloutStatus() == nlohmann::json({{"state", "reverted"}, {"target", "v3"}}));
     }
 }
+
+TEST_CASE("An endpoint that is draining gets no request when the store's copy lists it as ready", "[restore]")
+{
+    // Guards against DRAIN: the registration from before was taken for a later one.
+    OrderFixture fixture;
+    fixture.addEndpoint("e2");
+    fixture.run(startTime);
+    REQUIRE(fixture.countRunsAt("e2") > 0);
+    fixture.store.copy();
+    fixture.registerEndpoint("e2", "draining");
+    fixture.run(startTime);
+    REQUIRE(fixture.countRunsAt("e2") == 0);
+    fixture.store.restore();
+    fixture.run(changeLimit);
+    CHECK(fixture.countRunsAt("e2") == 0);
+    fixture.registerEndpoint("e2");
+    fixture.run(startTime);
+    CHECK(fixture.countRunsAt("e2") > 0);
+}
