--- a/Tests/Soak/PlannedWorkRun.cpp
+++ b/Tests/Soak/PlannedWorkRun.cpp
@@ -117,7 +117,7 @@
                         {"maxConns", 370},
                         {"engine", {{"slots", 64}, {"kvCapacity", 492709}, {"stride", 5}, {"models", {{{"name", "m0"}, {"cost", 0.1}}}}}}},
                        {{"name", plainService}, {"healthPath", "/healthz"}, {"maxConns", 110}}}},
-                     {"tenants", {{{"name", "shop"}, {"apiKeys", {"key"}}}}},
+                     {"tenants", {{{"name", "shop"}, {"apiKeys", this->keys}}}},
                      {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}});
 }
 
@@ -184,6 +184,37 @@
     this->entries->addWork({WorkKind::Configuration, -1, monotonicNow()});
 }
 
+StoreStandIn &PlannedWorkRun::platformStore()
+{
+    return this->store;
+}
+
+void PlannedWorkRun::setKeys(std::vector<std::string> newKeys)
+{
+    this->keys = std::move(newKeys);
+    this->changeConfiguration();
+}
+
+Asio::awaitable<int> PlannedWorkRun::sendWith(std::string key, int instance)
+{
+    const std::string id = "key-" + std::to_string(++this->calls);
+    std::string text = fmt::format(
+        "POST /lookup/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\nAuthorization: Bearer {}\r\nContent-Length: 0\r\n\r\n",
+        id,
+        plainLimit,
+        key);
+    KeptConnection connection(this->context);
+    const HttpAddress address = this->entries->callers(instance);
+    RequestRecord record;
+    if (!co_await connection.connect(address)) {
+        co_return 0;
+    }
+    const MonotonicTime until = monotonicNow() + std::chrono::milliseconds(plainLimit) + patience;
+    const bool isSent = co_await connection.exchange(std::move(text), until, ClientManners(), record);
+    const bool isAnswered = isSent && record.end == AnswerEnd::Complete;
+    co_return isAnswered ? connection.status() : 0;
+}
+
 void PlannedWorkRun::evacuate(const std::string &failureDomain)
 {
     this->store.put("evacuations", failureDomain, nlohmann::json::object());
--- a/Tests/Soak/PlannedWorkRun.h
+++ b/Tests/Soak/PlannedWorkRun.h
@@ -57,6 +57,13 @@
     /// Writes or removes the evacuation of a failure domain, `d0` and so on.
     void evacuate(const std::string &failureDomain);
     void endEvacuation(const std::string &failureDomain);
+    StoreStandIn &platformStore();
+    /// Puts a new configuration with these keys into the store.
+    void setKeys(std::vector<std::string> keys);
+    /// Writes the registrations of all endpoints.
+    void registerEndpoints();
+    /// Sends a short request with a key to an instance and returns the status of its answer; 0 if there is none.
+    boost::asio::awaitable<int> sendWith(std::string key, int instance);
     /// Plays the work beside the clients, and waits until all requests have ended.
     void play(std::function<boost::asio::awaitable<void>()> work);
 
@@ -78,7 +85,6 @@
     };
 
     void putConfiguration();
-    void registerEndpoints();
     std::string domainOfEndpoint(std::size_t index) const;
     Call makeCall(const std::string &client);
     boost::asio::awaitable<void> clientLoop(int number);
@@ -99,6 +105,7 @@
     std::atomic<bool> isBusy = true;
     std::vector<EvacuationTimes> evacuations;
     int configurationVersion = 1;
+    std::vector<std::string> keys {"key"};
     int calls = 0;
     int running = 0;
     bool isOver = false;
--- a/Tests/Soak/TestPlannedWork.cpp
+++ b/Tests/Soak/TestPlannedWork.cpp
@@ -1,4 +1,5 @@
 #include "PlannedWorkRun.h"
+#include "SoakSeeds.h"
 
 #include <catch2/catch.hpp>
 
@@ -6,7 +7,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <sstream>
 
 using namespace Godwitfork;
 using namespace std::chrono_literals;
@@ -15,23 +15,6 @@
 
 namespace
 {
-std::vector<std::uint64_t> seeds(std::vector<std::uint64_t> standard)
-{
-    const char *text = std::getenv("GODWITFORK_SOAK_SEEDS");
-    if (!text) {
-        return standard;
-    }
-    std::uint64_t first = 0;
-    std::uint64_t last = 0;
-    char dash = 0;
-    std::istringstream(text) >> first >> dash >> last;
-    standard.clear();
-    for (std::uint64_t seed = first; seed <= last; ++seed) {
-        standard.push_back(seed);
-    }
-    return standard;
-}
-
 void check(const PlannedWorkRun &run, std::uint64_t seed, const std::vector<Disruption> &disruptions)
 {
     const std::vector<RequestRecord> records = run.requests().records();
@@ -58,7 +41,7 @@
 // Guards against requests whose connection a stopping instance closes with their bytes unread, where instances share a core.
 TEST_CASE("Instances that share a core lose no request around their stop", "[work]")
 {
-    for (const std::uint64_t seed : seeds({2})) {
+    for (const std::uint64_t seed : soakSeeds({2})) {
         PlannedWorkSettings settings;
         settings.cores = 1;
         settings.busyThreads = 24;
@@ -84,7 +67,7 @@
 // Guards against the same without load: the process gets no processor time just when its listener closes.
 TEST_CASE("An instance that reads late loses no request when its listener closes", "[work]")
 {
-    for (const std::uint64_t seed : seeds({2})) {
+    for (const std::uint64_t seed : soakSeeds({2})) {
         PlannedWorkSettings settings;
         settings.manners.slow = 0.2;
         PlannedWorkRun run(seed, settings);
@@ -106,7 +89,7 @@
 // Guards against requests that a stopping instance takes, passes on and cuts at the end of its stop limit.
 TEST_CASE("Requests that arrive late in a stop are answered before its end", "[work]")
 {
-    for (const std::uint64_t seed : seeds({2})) {
+    for (const std::uint64_t seed : soakSeeds({2})) {
         PlannedWorkSettings settings;
         settings.slowSenders = 0.6;
         settings.manners = {.pausing = 0.5, .pauseMin = 1200ms, .pauseMax = 3500ms, .slow = 0.3};
@@ -129,7 +112,7 @@
 // Guards against streams that are ended for an endpoint's silence right after SIGHUP or during a stop, though they can't go on elsewhere.
 TEST_CASE("The silence of endpoints ends no stream beside a reload or a stop", "[work]")
 {
-    for (const std::uint64_t seed : seeds({2})) {
+    for (const std::uint64_t seed : soakSeeds({2})) {
         PlannedWorkSettings settings;
         // Either both endpoints fall silent one after the other, so that a stream finds no third one, or most fall silent at once, so that more streams need a
         // retry than the settings of the SIGHUP allow.
@@ -218,7 +201,7 @@
 // Guards against lost requests, and the other promises, under random series of planned work beside slow, silent and leaving endpoints.
 TEST_CASE("Random planned work loses no request", "[work]")
 {
-    for (const std::uint64_t seed : seeds({35})) {
+    for (const std::uint64_t seed : soakSeeds({35})) {
         PlannedWorkSettings settings;
         settings.manners = {
             .pausing = 0.1, .pauseMin = 1200ms, .pauseMax = 8s, .unframed = 0.05, .preempted = 0.05, .slow = 0.1, .closed = 0.02, .limiting = 0.02};
