--- a/Libraries/LibEntry/CatalogChanges.cpp
+++ b/Libraries/LibEntry/CatalogChanges.cpp
@@ -139,6 +139,7 @@
     }
 }
 
+/// Returns those of the names that a complete list lacks.
 std::vector<std::string> namesMissingFrom(const CatalogPage &page, std::set<std::string> names)
 {
     for (const CatalogChange &change : page.changes) {
--- a/Libraries/LibEntry/CatalogFollower.cpp
+++ b/Libraries/LibEntry/CatalogFollower.cpp
@@ -30,7 +30,7 @@
 constexpr Duration maxBackoff = std::chrono::milliseconds(800);
 /// Failures at most this long are interrupted watches, during which no registration expires.
 constexpr Duration outageThreshold = std::chrono::milliseconds(1500);
-/// Time within which operators write again what the copy lacks from which the store returned.
+/// Time for operators to write again what a store lacks that returned from a copy.
 constexpr Duration rewriteTime = std::chrono::seconds(10);
 
 nlohmann::ordered_json eraField(std::optional<StoreEra> era)
--- a/Libraries/LibGateway/VersionPolicy.cpp
+++ b/Libraries/LibGateway/VersionPolicy.cpp
@@ -96,7 +96,7 @@
         const bool mayBeEarlier = rollout.isEndUnstored || rollout.order.era != order.era;
         rollout.isEndUnstored = mayBeEarlier && !isRunning(before) && isRunning(order.state);
         rollout.order = order;
-        // An end is final: at it the platform stops endpoints, and a version found bad stays bad.
+        // The end of a roll-out is final: the platform then stops endpoints, and a version that was found bad stays bad.
         rollout.order.state = rollout.isEndUnstored ? before : order.state;
         return;
     }
