Count the limit of the drill from the write of the configuration

The test counted it from the end of the freeze, up to 2 s later, which allowed instances that were not frozen more than the limit.

--- a/Tests/Soak/TestStoreDrill.cpp
+++ b/Tests/Soak/TestStoreDrill.cpp
@@ -82,13 +82,13 @@
             }
             run.fleet().sendSignal(frozen, SIGSTOP);
             run.setKeys({"key"});
+            const MonotonicTime start = monotonicNow();
             // The new era gives out the revisions of the former one again.
             run.registerEndpoints();
             run.registerEndpoints();
             const Duration freeze = drawTime(run, 2s);
             co_await run.pause(freeze);
             run.fleet().sendSignal(frozen, SIGCONT);
-            const MonotonicTime start = monotonicNow();
             do {
                 co_await run.pause(checkInterval);
                 admitting = co_await findInstancesAdmitting(run, settings.instances);
