--- a/Tests/Soak/TestStoreDrill.cpp
+++ b/Tests/Soak/TestStoreDrill.cpp
@@ -31,9 +31,10 @@
 Asio::awaitable<void> restoreStore(PlannedWorkRun &run)
 {
     run.platformStore().copy();
-    const Duration age = 500ms + drawTime(run, 2500ms);
-    co_await run.pause(age);
+    // Instances read the revisions that the new era gives out again.
     run.registerEndpoints();
+    const Duration age = 1500ms + drawTime(run, 1500ms);
+    co_await run.pause(age);
     run.platformStore().setMode(run.randomSource()() % 2 == 0 ? StoreMode::Silent : StoreMode::Busy);
     const Duration away = drawTime(run, 3s);
     co_await run.pause(away);
